--- /dev/null
+++ b/modules/turmericlane_decisions/turmericlane_decisions.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/** @file
+    Module decisions: admission, routing, limits, hedging, retries, coverage.
+
+    Dependencies: core, bundle, xxhash.
+    It must not know sockets, threads, files or the system clock.
+*/
+
+#include "entry/search_coordinator.h"
+#include "messages/search_messages.h"
+#include "owner/group_dispatcher.h"
+#include "routing/owner_map.h"
