Add request parsing, the event loop and numbered log events of the daemon

Cause: the daemon needs strict checks of callers' input with a verdict for each fault, one thread that owns all decision state, and a log that can be searched by number. Change: module node with field_reader, search_api, event_loop and event; the catalogue docs/events.md, compared with the code by a test. Conclusion: the HTTP services can be written on top.

--- /dev/null
+++ b/modules/turmericlane_node/api/api_error.cpp
@@ -0,0 +1,60 @@
+#include "api_error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericlane
+{
+
+int http_status_of(verdict state) noexcept
+{
+    if (state.result == outcome::ran)
+        return 200;
+    switch (state.why)
+    {
+    case reason::bad_json:
+    case reason::missing_field:
+    case reason::bad_field:
+    case reason::ticket_required:
+    case reason::ticket_invalid:
+    case reason::not_bookable:
+        return 400;
+    case reason::unknown_service:
+    case reason::unknown_group:
+        return 404;
+    case reason::ticket_reused:
+    case reason::ticket_expired:
+        return 409;
+    case reason::body_too_large:
+        return 413;
+    case reason::rank_limit:
+    case reason::ticket_table_full:
+        return 429;
+    case reason::deadline_past:
+    case reason::deadline_too_short:
+    case reason::deadline_reached:
+    case reason::queue_deadline:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+std::string to_json(const api_error& error)
+{
+    nlohmann::json made;
+    made["verdict"] = to_string(error.state.result);
+    made["reason"] = to_string(error.state.why);
+    made["detail"] = error.detail;
+    made["request_id"] = error.caller_request;
+    // A caller's id may hold bytes that aren't UTF-8; they must not throw.
+    return made.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+api_error
+refuse(reason why, std::string detail, std::string_view caller_request)
+{
+    return {
+        verdict::refused(why), std::move(detail), std::string(caller_request)};
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/api/field_reader.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "api_error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace turmericlane
+{
+
+/** Reads the fields of one JSON object strictly and keeps the first error.
+
+    After the first error every call returns an empty value, so that callers
+    read all fields and check error() once.
+
+    @see api_error
+*/
+class field_reader
+{
+public:
+    /** Parses a request body.
+        @param body     text of the request
+        @param allowed  names of the fields that may appear */
+    field_reader(
+        std::string_view body, std::span<const std::string_view> allowed);
+
+    /** Reads a string whose length is in the range, in bytes. */
+    std::string text(
+        std::string_view name,
+        std::size_t min_bytes,
+        std::size_t max_bytes,
+        std::optional<std::string> otherwise = std::nullopt);
+
+    /** Reads an integer in the range. */
+    std::int64_t integer(
+        std::string_view name,
+        std::int64_t min,
+        std::int64_t max,
+        std::optional<std::int64_t> otherwise = std::nullopt);
+
+    /** Reads a list of strings without repetition, with 1 to max_count
+        entries. */
+    std::vector<std::string>
+    texts(std::string_view name, std::size_t max_count);
+
+    /** Reads a rank; ordinary where the field is missing. */
+    rank work(std::string_view name);
+
+    /** Reads the deadline in milliseconds from now. Zero or less is
+        deadline_past.
+        @param otherwise  value where the field is missing */
+    std::chrono::milliseconds
+    deadline(std::string_view name, std::chrono::milliseconds otherwise);
+
+    /** Keeps an error unless there is one already. */
+    void fail(reason why, std::string detail);
+
+    /** The first error, or nothing. */
+    const std::optional<api_error>& error() const noexcept
+    {
+        return error_;
+    }
+
+private:
+    const nlohmann::json* find(std::string_view name, bool required);
+
+    nlohmann::json object_;
+    std::string caller_request_;
+    std::optional<api_error> error_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/tests/event_tests.cpp
@@ -0,0 +1,60 @@
+#include "../log/event.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace turmericlane;
+
+namespace
+{
+
+std::string severity_name(event_severity value)
+{
+    if (value == event_severity::info)
+        return "info";
+    return value == event_severity::warning ? "warning" : "error";
+}
+
+/** Returns "number name severity" of each row of the catalogue. */
+std::set<std::string> catalogue_rows()
+{
+    std::ifstream file(TURMERICLANE_SOURCE_DIR "/docs/events.md");
+    REQUIRE(file);
+    std::set<std::string> rows;
+    std::string line;
+    while (std::getline(file, line))
+    {
+        std::istringstream cells(line);
+        std::string bar;
+        std::string number;
+        std::string name;
+        std::string severity;
+        cells >> bar >> number >> bar >> name >> bar >> severity;
+        if (number.size() == 4 && number[0] >= '0' && number[0] <= '9')
+            rows.insert(number + " " + name + " " + severity);
+    }
+    return rows;
+}
+
+} // namespace
+
+TEST_CASE("an event without a catalogue entry, or the reverse, is found")
+{
+    std::set<std::string> in_code;
+    for (const auto& it : all_events())
+        in_code.insert(
+            std::to_string(static_cast<unsigned>(it.number)) + " " +
+            std::string(it.name) + " " + severity_name(it.severity));
+    CHECK(in_code.size() == all_events().size());
+    CHECK(in_code == catalogue_rows());
+}
+
+TEST_CASE("a value can't forge a second field or line of the log")
+{
+    const auto line = format_event(
+        event::start_failed, {{"detail", "a b=c\nTL1006 stopped"}});
+    CHECK(line == "TL1002 start_failed detail=\"a b=c\\nTL1006 stopped\"");
+}
