--- a/modules/turmericlane_node/tests/event_tests.cpp
+++ b/modules/turmericlane_node/tests/event_tests.cpp
@@ -18,6 +18,14 @@
     return value == event_severity::warning ? "warning" : "error";
 }
 
+std::string row_text(
+    std::string_view number, std::string_view name, std::string_view severity)
+{
+    std::string row(number);
+    row.append(" ").append(name).append(" ").append(severity);
+    return row;
+}
+
 /** Returns "number name severity" of each row of the catalogue. */
 std::set<std::string> catalogue_rows()
 {
@@ -34,7 +42,7 @@
         std::string severity;
         cells >> bar >> number >> bar >> name >> bar >> severity;
         if (number.size() == 4 && number[0] >= '0' && number[0] <= '9')
-            rows.insert(number + " " + name + " " + severity);
+            rows.insert(row_text(number, name, severity));
     }
     return rows;
 }
@@ -45,9 +53,9 @@
 {
     std::set<std::string> in_code;
     for (const auto& it : all_events())
-        in_code.insert(
-            std::to_string(static_cast<unsigned>(it.number)) + " " +
-            std::string(it.name) + " " + severity_name(it.severity));
+        in_code.insert(row_text(
+            std::to_string(static_cast<unsigned>(it.number)), it.name,
+            severity_name(it.severity)));
     CHECK(in_code.size() == all_events().size());
     CHECK(in_code == catalogue_rows());
 }
