--- /dev/null
+++ b/modules/turmericlane_node/api/booking_api.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "api_error.h"
+
+#include <turmericlane_bundle/turmericlane_bundle.h>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace turmericlane
+{
+
+/** A checked booking of a caller. */
+struct booking_request
+{
+    /** Text form of the single-use ticket. */
+    std::string ticket;
+    std::string service;
+    /** Selects the group: the hash of the key over the partition map. */
+    std::string key;
+    /** Opaque content for the backend server. */
+    std::string payload;
+    rank work = rank::urgent;
+    std::chrono::milliseconds time_left{0};
+};
+
+/** Parses the body of POST /v1/bookings.
+    @param body      JSON: ticket, service, key, payload, rank, deadline_ms and
+                     optionally request_id
+    @param in_force  bundle whose bookable services may be named */
+result<booking_request, api_error>
+parse_booking(std::string_view body, const bundle& in_force);
+
+/** Returns the JSON text of a booking's end.
+    @param state   verdict with its reason
+    @param answer  what the backend server returned; empty unless it ran
+    @param ticket  the ticket, returned as request_id */
+std::string
+booking_json(verdict state, std::string_view answer, std::string_view ticket);
+
+} // namespace turmericlane
