Publish the interfaces of bundle parsing, signing and version_store

The daemon is written against these headers at the same time, so they land before their implementation. Nothing was measured.

--- a/modules/turmericlane_bundle/turmericlane_bundle.h
+++ b/modules/turmericlane_bundle/turmericlane_bundle.h
@@ -7,4 +7,15 @@
     It must not know sockets, threads or the search path.
 */
 
+#include "change/bundle_delta.h"
+#include "change/bundle_diff.h"
 #include "model/bundle.h"
+#include "parse/bundle_error.h"
+#include "parse/document.h"
+#include "parse/parse_bundle.h"
+#include "sign/envelope.h"
+#include "sign/hex.h"
+#include "sign/key_file.h"
+#include "sign/keys.h"
+#include "version/version_listener.h"
+#include "version/version_store.h"
