State: add the public headers

Cause: the daemon is written at the same time and needs fixed interfaces for bookings, membership, version spread, start-up and shutdown. Conclusion: the daemon can be written against these headers; the rest follows.

--- /dev/null
+++ b/modules/turmericlane_state/tests/main.cpp
@@ -0,0 +1,4 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <turmericlane_state/turmericlane_state.h>
+
+#include <doctest/doctest.h>
--- /dev/null
+++ b/modules/turmericlane_state/turmericlane_state.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/** @file
+    Module state: tickets and bookings, membership, spread of versions, the
+    answer to "Which instances should I use", start-up and shutdown.
+
+    Dependencies: core, xxhash, libsodium.
+    It must not know sockets, threads, files, the system clock, HTTP, the frame
+    encoding or the content of a bundle.
+*/
+
+#include "booking/booking_actions.h"
+#include "booking/booking_coordinator.h"
+#include "booking/booking_executor.h"
+#include "booking/booking_messages.h"
+#include "booking/ticket.h"
+#include "booking/ticket_issuer.h"
+#include "instances/instance_answer.h"
+#include "membership/member.h"
+#include "membership/membership_actions.h"
+#include "membership/membership_table.h"
+#include "membership/platform_reader.h"
+#include "membership/startup_gate.h"
+#include "membership/version_spread.h"
+#include "shutdown/shutdown_sequence.h"
