--- /dev/null
+++ b/modules/turmericlane_metrics/registry/metrics_registry.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "../histogram/latency_histogram.h"
+#include "counter.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** Names and values that tell the series of one metric apart. */
+using metric_labels = std::vector<std::pair<std::string, std::string>>;
+
+/** All metrics of one process, by name and labels.
+
+    A module asks for its metrics once and keeps the references, which stay
+   valid as long as the registry. Asking again for the same name and labels
+   returns the same object; the kind must be the same. Any thread may call; text
+   takes a lock that counting does not take.
+
+    @see counter, gauge, latency_histogram
+*/
+class metrics_registry
+{
+public:
+    metrics_registry();
+    ~metrics_registry();
+    metrics_registry(const metrics_registry&) = delete;
+    metrics_registry& operator=(const metrics_registry&) = delete;
+
+    /** Returns the counter; its name ends in "_total".
+        @param help  one line that says what is counted */
+    counter& counter_of(
+        std::string_view name,
+        std::string_view help,
+        const metric_labels& labels = {});
+
+    /** Returns the gauge. */
+    gauge& gauge_of(
+        std::string_view name,
+        std::string_view help,
+        const metric_labels& labels = {});
+
+    /** Returns the histogram; its name ends in "_microseconds". */
+    latency_histogram& histogram_of(
+        std::string_view name,
+        std::string_view help,
+        const metric_labels& labels = {});
+
+    /** Returns every metric in the Prometheus text format, version 0.0.4. */
+    std::string text() const;
+
+private:
+    struct family;
+    family& family_of(std::string_view name, std::string_view help, int kind);
+
+    mutable std::mutex mutex_;
+    std::map<std::string, std::unique_ptr<family>, std::less<>> families_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_net/backend/backend_pool.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <turmericlane_core/turmericlane_core.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** How an exchange with a backend server ended. */
+enum class exchange_status : std::uint8_t
+{
+    /** There is a whole reply, whatever its HTTP status. */
+    replied,
+    /** No connection; no byte was sent. */
+    connect_failed,
+    /** The connection broke before the whole reply was there. */
+    connection_lost,
+    /** The deadline passed before the whole reply was there. */
+    timed_out,
+    /** The job was cancelled; a reply that still came was dropped. */
+    cancelled,
+    /** The job's permit refused, or the pool is stopped; no byte was sent. */
+    not_sent
+};
+
+/** Returns the name that logs use. */
+std::string_view to_string(exchange_status value) noexcept;
+
+/** Result of an exchange with a backend server. */
+struct exchange_result
+{
+    exchange_status status = exchange_status::not_sent;
+    /** False only if certainly no byte of the request has left. */
+    bool may_have_left = false;
+    /** HTTP status; 0 without a reply. */
+    int http_status = 0;
+    std::string body;
+};
+
+/** One request to a backend server. */
+struct backend_job
+{
+    /** GET without a body, or POST with one. */
+    bool post = true;
+    std::string path;
+    /** Sent as X-Request-Id; POST /cancel names it. */
+    std::string request_id;
+    /** Further headers. */
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    /** When the reply must be there. */
+    time_point deadline;
+    /** May be empty. Called by the connection's thread when the connection
+        stands, immediately before the first byte; false stops the job with
+        not_sent. */
+    std::function<bool()> permit;
+    /** Called exactly once, by the connection's thread, or by the thread that
+        cancels a job that was not yet started. It may submit and cancel. */
+    std::function<void(exchange_result)> done;
+};
+
+/** Identifies a submitted job. */
+using backend_job_id = std::uint64_t;
+
+/** Connections to backend servers over HTTP.
+
+    Each server has a queue of jobs and up to a given number of kept-alive
+    connections; each connection has one thread, which starts when a job finds
+    no idle one. Nothing is ever sent twice: a job on a connection that turns
+   out to be broken ends with connection_lost.
+
+    Any thread may call, except that stop is not called from done.
+
+    @see backend_job
+*/
+class backend_pool
+{
+public:
+    /** @param time             clock of the deadlines; real time
+        @param connect_timeout  bound of one connect, besides the deadline */
+    explicit backend_pool(
+        const clock& time,
+        std::chrono::milliseconds connect_timeout =
+            std::chrono::milliseconds(1000));
+
+    /** Stops the pool. */
+    ~backend_pool();
+    backend_pool(const backend_pool&) = delete;
+    backend_pool& operator=(const backend_pool&) = delete;
+
+    /** Sets how many connections to a server may be open; at least 1. A lower
+        limit closes connections when they become idle. Without this call the
+        limit of a server is 1. */
+    void set_connection_limit(
+        const std::string& host, std::uint16_t port, std::size_t connections);
+
+    /** Closes the idle connections to a server that left, and forgets it when
+        its jobs have ended. */
+    void forget(const std::string& host, std::uint16_t port);
+
+    /** Queues a job for a server.
+        @param host  numeric IP address */
+    backend_job_id
+    submit(const std::string& host, std::uint16_t port, backend_job job);
+
+    /** Gives a job up. A queued job ends at once with cancelled and
+        may_have_left false. For a running one POST /cancel is sent through
+        another connection of the same server, and the job ends with cancelled
+        when the server has answered or the deadline has passed: until then the
+        server may be busy with it. Does nothing if the job has ended. */
+    void cancel(backend_job_id id);
+
+    /** Ends queued jobs with not_sent, lets running ones end, and joins the
+        threads. */
+    void stop();
+
+    /** Jobs that are queued or running. */
+    std::size_t pending() const;
+
+    /** Connections that have a thread at this moment. */
+    std::size_t connections() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_wire/frame/frame_encoder.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "../session/session_authenticator.h"
+#include "frame_header.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** Turns messages into the frames of one session: numbers and signs them.
+
+    One thread uses it at a time.
+
+    @see frame_decoder
+*/
+class frame_encoder
+{
+public:
+    /** @param session  signs the frames; must outlive the encoder */
+    explicit frame_encoder(session_authenticator& session);
+
+    /** Appends a frame to a buffer.
+        @param payload  at most 4 MiB, a multiple of 8 bytes */
+    void append_frame(
+        frame_type type,
+        std::span<const std::uint8_t> payload,
+        std::vector<std::uint8_t>& to);
+
+private:
+    session_authenticator& session_;
+    std::uint64_t next_sequence_ = 0;
+};
+
+/** Returns the size of the frame that holds a payload of that size. */
+constexpr std::size_t frame_bytes(std::size_t payload_bytes) noexcept
+{
+    return frame_header_bytes + payload_bytes + frame_mac_bytes;
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_wire/messages/message_decoder.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "peer_messages.h"
+
+#include <optional>
+#include <span>
+
+namespace turmericlane
+{
+
+/** A message with the state of its sender. */
+template <class T>
+struct received_message
+{
+    message_header header;
+    T body;
+};
+
+/** Reads a message of type T from the payload of a frame of its type.
+
+    The FlatBuffers verifier runs before any access, required fields must be
+    there, enumerations must be known, and times must not be negative. Any
+   thread may call. There are specialisations for hello_message, search_batch,
+    shard_reply_batch, cancel_message, booking_forward, booking_execute,
+    booking_reply, heartbeat, bundle_request, bundle_delta and bundle_full.
+
+    @param payload  aligned to 8 bytes, as frame_decoder hands it out
+    @returns nothing if the payload is not a valid message of that type
+    @see message_encoder
+*/
+template <class T>
+std::optional<received_message<T>>
+decode_message(std::span<const std::uint8_t> payload);
+
+template <>
+std::optional<received_message<hello_message>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<search_batch>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<shard_reply_batch>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<cancel_message>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<booking_forward>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<booking_execute>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<booking_reply>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<heartbeat>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<bundle_request>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<bundle_delta>>
+decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<bundle_full>>
+decode_message(std::span<const std::uint8_t> payload);
+
+} // namespace turmericlane
