Add the services of the daemon

Cause: the decision and state modules need threads, sockets and HTTP around them. Change: services engine, peers, members, versions, backends, search, bookings, shutdown and http, which run all decisions on one loop.

--- a/modules/turmericlane_node/api/booking_api.cpp
+++ b/modules/turmericlane_node/api/booking_api.cpp
@@ -19,12 +19,12 @@
 
 } // namespace
 
-result<booking_request, api_error>
+result<booking_form, api_error>
 parse_booking(std::string_view body, const bundle& in_force)
 {
-    using failed = result<booking_request, api_error>;
+    using failed = result<booking_form, api_error>;
     field_reader reader(body, booking_fields);
-    booking_request made;
+    booking_form made;
     reader.text("request_id", 0, max_request_id_bytes, "");
     made.ticket = reader.text("ticket", 0, max_ticket_bytes, "");
     if (made.ticket.empty())
--- a/modules/turmericlane_node/api/booking_api.h
+++ b/modules/turmericlane_node/api/booking_api.h
@@ -11,8 +11,11 @@
 namespace turmericlane
 {
 
-/** A checked booking of a caller. */
-struct booking_request
+/** The checked body of a booking.
+
+    @see booking_request
+*/
+struct booking_form
 {
     /** Text form of the single-use ticket. */
     std::string ticket;
@@ -29,7 +32,7 @@
     @param body      JSON: ticket, service, key, payload, rank, deadline_ms and
                      optionally request_id
     @param in_force  bundle whose bookable services may be named */
-result<booking_request, api_error>
+result<booking_form, api_error>
 parse_booking(std::string_view body, const bundle& in_force);
 
 /** Returns the JSON text of a booking's end.
--- /dev/null
+++ b/modules/turmericlane_node/backends/backend_codec.cpp
@@ -0,0 +1,171 @@
+#include "backend_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int http_ok = 200;
+constexpr int http_conflict = 409;
+constexpr int http_unavailable = 503;
+constexpr int http_deadline = 504;
+
+std::uint64_t number(const json& from, const char* name)
+{
+    const auto it = from.find(name);
+    if (it == from.end() || !it->is_number_unsigned())
+        return 0;
+    return it->get<std::uint64_t>();
+}
+
+bool read_hits(const json& from, std::vector<hit>& hits)
+{
+    const auto list = from.find("hits");
+    if (list == from.end() || !list->is_array())
+        return false;
+    hits.reserve(list->size());
+    for (const auto& it : *list)
+    {
+        const auto id = it.find("id");
+        const auto score = it.find("score");
+        const auto valid = id != it.end() && id->is_string() &&
+                           score != it.end() && score->is_number();
+        if (!valid)
+            return false;
+        hits.push_back(
+            {id->get_ref<const std::string&>(), score->get<double>()});
+    }
+    return true;
+}
+
+backend_status status_without_reply(exchange_status status)
+{
+    switch (status)
+    {
+    case exchange_status::connect_failed:
+    case exchange_status::not_sent:
+        return backend_status::connect_failed;
+    case exchange_status::timed_out:
+        return backend_status::timed_out;
+    case exchange_status::cancelled:
+        return backend_status::cancelled;
+    default:
+        return backend_status::connection_lost;
+    }
+}
+
+backend_status status_of(int http_status, std::string_view body)
+{
+    switch (http_status)
+    {
+    case http_ok:
+        return backend_status::ok;
+    case http_conflict:
+        return backend_status::snapshot_gone;
+    case http_unavailable:
+        return refusal_reason(body) == reason::server_draining
+                   ? backend_status::draining
+                   : backend_status::shed;
+    case http_deadline:
+        return backend_status::deadline;
+    default:
+        return backend_status::bad_reply;
+    }
+}
+
+} // namespace
+
+std::string backend_request_id(const backend_request& request, attempt_id id)
+{
+    std::string text = std::to_string(request.id.nonce);
+    for (auto it :
+         {request.id.counter, std::uint64_t{request.group.service},
+          std::uint64_t{request.group.partition}, std::uint64_t{id}})
+        text.append("-").append(std::to_string(it));
+    return text;
+}
+
+backend_job encode_search(const backend_request& request, attempt_id id)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    backend_job job;
+    job.path = "/search";
+    job.request_id = backend_request_id(request, id);
+    const auto left = duration_cast<milliseconds>(request.time_left);
+    job.headers = {
+        {"X-Deadline-Ms", std::to_string(left.count())},
+        {"X-Snapshot", std::to_string(request.snapshot)},
+        {"X-Epoch", std::to_string(request.epoch)},
+        {"X-Rank", std::string(to_string(request.work))}};
+    json body;
+    body["query"] = request.query;
+    body["limit"] = request.limit;
+    body["service"] = request.group.service;
+    body["partition"] = request.group.partition;
+    job.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return job;
+}
+
+backend_reply decode_search(const exchange_result& exchange)
+{
+    backend_reply reply;
+    if (exchange.status != exchange_status::replied)
+    {
+        reply.status = status_without_reply(exchange.status);
+        return reply;
+    }
+    reply.status = status_of(exchange.http_status, exchange.body);
+    const auto document = json::parse(exchange.body, nullptr, false);
+    if (!document.is_object())
+    {
+        if (reply.status == backend_status::ok ||
+            reply.status == backend_status::snapshot_gone)
+            reply.status = backend_status::bad_reply;
+        return reply;
+    }
+    reply.snapshot = number(document, "snapshot");
+    reply.epoch = number(document, "epoch");
+    reply.served = {number(document, "oldest"), number(document, "newest")};
+    if (reply.status != backend_status::ok)
+        return reply;
+    if (reply.snapshot == 0 || !read_hits(document, reply.hits))
+        reply.status = backend_status::bad_reply;
+    return reply;
+}
+
+std::optional<load_report>
+decode_load(searcher_id server, std::string_view body)
+{
+    const auto document = json::parse(body, nullptr, false);
+    if (!document.is_object())
+        return std::nullopt;
+    const auto load = document.find("load");
+    if (load == document.end() || !load->is_number())
+        return std::nullopt;
+    load_report report;
+    report.server = server;
+    report.load = std::clamp(load->get<double>(), 0.0, 1.0);
+    report.in_flight =
+        static_cast<std::uint32_t>(number(document, "in_flight"));
+    report.queued = static_cast<std::uint32_t>(number(document, "queue"));
+    const auto draining = document.find("draining");
+    report.draining = draining != document.end() && draining->is_boolean() &&
+                      draining->get<bool>();
+    report.served = {number(document, "oldest"), number(document, "newest")};
+    return report;
+}
+
+reason refusal_reason(std::string_view body)
+{
+    return body.find("draining") != std::string_view::npos
+               ? reason::server_draining
+               : reason::shed_by_server;
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/engine/engine.cpp
@@ -0,0 +1,61 @@
+#include "engine.h"
+
+#include "../log/event.h"
+
+#include <algorithm>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+/** A gap of this length between two turns counts as a pause of the process. It
+    is shorter than the time-out of heartbeats, so that a process notices its
+    pause before others can have replaced it unnoticed. */
+constexpr std::chrono::milliseconds pause_limit{1000};
+
+} // namespace
+
+engine::engine()
+    : loop_(clock_, pause_limit)
+{
+}
+
+std::optional<std::string> engine::start(kernel&)
+{
+    loop_.start(*this);
+    return std::nullopt;
+}
+
+void engine::stop()
+{
+    loop_.stop();
+}
+
+void engine::add(turn_participant& added)
+{
+    loop_.call([&] { participants_.push_back(&added); });
+}
+
+time_point engine::on_turn()
+{
+    auto next = time_point::max();
+    for (auto* it : participants_)
+        next = std::min(next, it->on_turn());
+    return next;
+}
+
+void engine::on_pause(duration length)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    log_event(
+        event::pause_detected,
+        {{"length_ms",
+          std::to_string(duration_cast<milliseconds>(length).count())}});
+    for (auto* it : participants_)
+        it->on_pause(length);
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/http/http_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "../api/api_error.h"
+#include "../shutdown/shutdown_service.h"
+
+#include <turmericlane_metrics/turmericlane_metrics.h>
+
+#include <array>
+
+namespace turmericlane
+{
+
+/** The service "http": the interface for callers and operators.
+
+    Each request is served by a thread of the HTTP server, which waits for the
+    engine's answer.
+
+    @see http_front
+*/
+class http_service final : public service
+{
+public:
+    /** @param nonce     start-up nonce of this process
+        @param registry  must outlive the service
+        @param counters  must outlive the service */
+    http_service(
+        const node_settings& settings,
+        std::uint64_t nonce,
+        metrics_registry& registry,
+        instance_counters& counters);
+    ~http_service() override;
+
+    std::string_view name() const noexcept override
+    {
+        return "http";
+    }
+
+    std::optional<std::string> start(kernel& owner) override;
+    void stop() override;
+
+private:
+    http_response serve_search(const http_request& request);
+    http_response serve_ticket(const http_request& request);
+    http_response serve_booking(const http_request& request);
+    http_response serve_instances(const http_request& request);
+    http_response serve_status(const http_request& request);
+    http_response serve_metrics(const http_request& request);
+    http_response refuse_with(const api_error& error, rank work);
+    std::optional<api_error> refusal_by_state(const http_request& request);
+    void add_handlers();
+
+    template <class Handler>
+    http_front::handler guarded(Handler handler);
+
+    const node_settings& settings_;
+    std::uint64_t nonce_;
+    metrics_registry& registry_;
+    instance_counters& counters_;
+    std::array<latency_histogram*, rank_count> latency_{};
+    std::shared_ptr<engine> engine_;
+    std::shared_ptr<member_service> members_;
+    std::shared_ptr<version_service> versions_;
+    std::shared_ptr<search_service> search_;
+    std::shared_ptr<booking_service> bookings_;
+    std::shared_ptr<shutdown_service> shutdown_;
+    std::unique_ptr<http_front> front_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/peers/peer_service.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "../engine/engine.h"
+#include "../settings/node_settings.h"
+#include "peer_subscriber.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** The service "peers": sessions with other instances. It decodes messages on
+    the network threads and hands them to its subscribers on the engine's loop.
+
+    Methods are called on the loop unless they say otherwise.
+
+    @see peer_network, peer_subscriber
+*/
+class peer_service final : public service, private peer_listener
+{
+public:
+    /** @param settings  addresses and keys
+        @param nonce     start-up nonce of this process
+        @param counters  must outlive the service */
+    peer_service(
+        const node_settings& settings,
+        std::uint64_t nonce,
+        instance_counters& counters);
+    ~peer_service() override;
+
+    std::string_view name() const noexcept override
+    {
+        return "peers";
+    }
+
+    std::optional<std::string> start(kernel& owner) override;
+    void stop() override;
+
+    /** Adds a subscriber, which must outlive the service's run. */
+    void subscribe(peer_subscriber& added);
+
+    /** Keeps a session to an address open. */
+    void connect(const peer_address& to);
+
+    /** Ends what connect began. */
+    void disconnect(const peer_address& from);
+
+    /** True if there is a session with that instance. */
+    bool connected(ordinal with) const;
+
+    /** States the bundle version that further messages carry. */
+    void set_bundle_version(std::uint64_t version);
+
+    /** Queues a message.
+        @returns false if no byte of it has left or will leave */
+    template <class T>
+    bool send(ordinal to, const T& message)
+    {
+        return network_->send(to, encoder_.encode(header(), message));
+    }
+
+    /** Queues a message for the session that connect opened to the address. */
+    template <class T>
+    bool send(const peer_address& to, const T& message)
+    {
+        return network_->send(to, encoder_.encode(header(), message));
+    }
+
+private:
+    void on_connected(const peer_identity& peer) override;
+    void on_message(
+        const peer_identity& peer,
+        frame_type type,
+        std::span<const std::uint8_t> payload) override;
+    void on_closed(const peer_identity& peer, reason why) override;
+    message_header header() const;
+
+    template <class T>
+    void forward(
+        const peer_identity& peer, std::span<const std::uint8_t> payload);
+
+    const node_settings& settings_;
+    std::uint64_t nonce_;
+    instance_counters& counters_;
+    std::shared_ptr<engine> engine_;
+    std::unique_ptr<peer_network> network_;
+    message_encoder encoder_;
+    std::atomic<std::uint64_t> bundle_version_{0};
+    std::vector<peer_subscriber*> subscribers_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/platform/platform_client.cpp
@@ -0,0 +1,86 @@
+#include "platform_client.h"
+
+#include <httplib.h>
+
+#include <cassert>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds connect_timeout{500};
+
+} // namespace
+
+platform_client::platform_client(host_port where)
+    : where_(std::move(where))
+    , client_(std::make_unique<httplib::Client>(where_.host, where_.port))
+{
+    client_->set_tcp_nodelay(true);
+    client_->set_keep_alive(true);
+    client_->set_connection_timeout(connect_timeout);
+}
+
+platform_client::~platform_client()
+{
+    stop();
+}
+
+void platform_client::start()
+{
+    assert(!thread_.joinable());
+    thread_ = std::thread([this] { run(); });
+}
+
+void platform_client::stop()
+{
+    {
+        std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_one();
+    client_->stop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void platform_client::get(
+    std::string path, std::chrono::milliseconds timeout, handler done)
+{
+    {
+        std::lock_guard lock(mutex_);
+        assert(next_ == nullptr);
+        next_ = std::make_unique<request>(
+            request{std::move(path), timeout, std::move(done)});
+    }
+    changed_.notify_one();
+}
+
+void platform_client::run()
+{
+    while (true)
+    {
+        std::unique_ptr<request> taken;
+        {
+            std::unique_lock lock(mutex_);
+            changed_.wait(lock, [this] { return stopping_ || next_; });
+            if (stopping_)
+                return;
+            taken = std::move(next_);
+        }
+        taken->done(read(*taken));
+    }
+}
+
+platform_answer platform_client::read(const request& what)
+{
+    client_->set_read_timeout(what.timeout);
+    const auto got = client_->Get(what.path);
+    if (!got)
+        return {0, {}, httplib::to_string(got.error())};
+    return {got->status, std::move(got->body), {}};
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/platform/platform_client.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "../settings/node_settings.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace httplib
+{
+class Client;
+}
+
+namespace turmericlane
+{
+
+/** Answer of an outside service. */
+struct platform_answer
+{
+    /** HTTP status; 0 if there was no answer. */
+    int status = 0;
+    std::string body;
+    /** Why there was no answer. */
+    std::string error;
+};
+
+/** Reads an outside service over HTTP, one read at a time, on its own thread.
+
+    Any thread may call get and stop.
+
+    @see version_service, member_service
+*/
+class platform_client
+{
+public:
+    using handler = std::function<void(platform_answer)>;
+
+    explicit platform_client(host_port where);
+    ~platform_client();
+    platform_client(const platform_client&) = delete;
+    platform_client& operator=(const platform_client&) = delete;
+
+    /** Starts the thread. */
+    void start();
+
+    /** Breaks off a read that is running and joins the thread. */
+    void stop();
+
+    /** Reads a path. No other read may be waiting or running.
+        @param timeout  bound of the read after the connect
+        @param done     called on the client's thread */
+    void get(std::string path, std::chrono::milliseconds timeout, handler done);
+
+private:
+    struct request
+    {
+        std::string path;
+        std::chrono::milliseconds timeout{};
+        handler done;
+    };
+
+    void run();
+    platform_answer read(const request& what);
+
+    host_port where_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::unique_ptr<request> next_;
+    bool stopping_ = false;
+    std::unique_ptr<httplib::Client> client_;
+    std::thread thread_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/settings/node_settings.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <turmericlane_core/turmericlane_core.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** Host and port of an outside service. */
+struct host_port
+{
+    /** Numeric IP address. */
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/** Checked settings of the daemon.
+
+    @see read_node_settings
+*/
+struct node_settings
+{
+    /** Numeric IP address to listen on and to be reached at. */
+    std::string address;
+    std::uint16_t http_port = 0;
+    std::uint16_t peer_port = 0;
+    std::string data_centre;
+    /** Other data centres, nearest first. */
+    std::vector<std::string> nearest_data_centres;
+    ordinal index = 0;
+    host_port configuration_service;
+    host_port instance_list;
+    /** Public keys of the operators, hexadecimal, or a file that holds them. */
+    std::string trusted_keys;
+    /** File with the keys that instances share, one in each line; the first
+        one signs. */
+    std::string peer_key_file;
+    std::string log_folder;
+    /** How long callers may use an answer about instances. */
+    std::chrono::milliseconds answer_lifetime{5000};
+    /** From SIGTERM to the end at the latest. */
+    std::chrono::milliseconds shutdown_limit{30000};
+    /** Serves unconfirmed after this time without an answer of peers. */
+    std::chrono::milliseconds startup_limit{5000};
+    /** Period of the reads of the instance list. */
+    std::chrono::milliseconds list_period{1000};
+    /** Period of the reads of backend servers' load. */
+    std::chrono::milliseconds load_period{500};
+    /** Callers' connections that are served at the same time. */
+    std::size_t http_threads = 128;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/shutdown/shutdown_service.cpp
@@ -0,0 +1,108 @@
+#include "shutdown_service.h"
+
+#include "../log/event.h"
+
+namespace turmericlane
+{
+
+namespace
+{
+
+/** Callers use an answer about instances until it lapses; clocks and the way
+    to the caller need some more. */
+constexpr std::chrono::milliseconds leaving_margin{500};
+
+/** How often the number of requests in flight is looked at while draining. */
+constexpr std::chrono::milliseconds poll_period{20};
+
+} // namespace
+
+shutdown_service::shutdown_service(const node_settings& settings)
+    : settings_(settings)
+{
+}
+
+std::optional<std::string> shutdown_service::start(kernel& owner)
+{
+    engine_ = owner.find_as<engine>("engine");
+    members_ = owner.find_as<member_service>("members");
+    search_ = owner.find_as<search_service>("search");
+    bookings_ = owner.find_as<booking_service>("bookings");
+    shutdown_limits limits;
+    limits.leaving = settings_.answer_lifetime + leaving_margin;
+    limits.total = settings_.shutdown_limit;
+    engine_->call(
+        [&]
+        {
+            sequence_ = std::make_unique<shutdown_sequence>(
+                limits, engine_->time(), *this);
+        });
+    engine_->add(*this);
+    return std::nullopt;
+}
+
+void shutdown_service::stop()
+{
+}
+
+void shutdown_service::terminate()
+{
+    engine_->post([this] { sequence_->on_terminate(); });
+}
+
+std::size_t shutdown_service::wait()
+{
+    return stopped_.get_future().get();
+}
+
+shutdown_phase shutdown_service::phase() const
+{
+    return sequence_->phase();
+}
+
+std::size_t shutdown_service::in_flight() const
+{
+    return requests_ + search_->in_flight() + bookings_->in_flight();
+}
+
+time_point shutdown_service::on_turn()
+{
+    const auto phase = sequence_->phase();
+    if (phase == shutdown_phase::serving || phase == shutdown_phase::stopped)
+        return time_point::max();
+    sequence_->on_in_flight(in_flight());
+    const auto now = engine_->time().now();
+    if (now >= sequence_->next_wakeup())
+        sequence_->on_timer();
+    return std::min(sequence_->next_wakeup(), now + poll_period);
+}
+
+void shutdown_service::leave()
+{
+    log_phase(shutdown_phase::leaving);
+    members_->table().start_leaving();
+}
+
+void shutdown_service::drain()
+{
+    log_phase(shutdown_phase::draining);
+    draining_ = true;
+    bookings_->start_draining();
+}
+
+void shutdown_service::stop(std::size_t cut_off)
+{
+    log_phase(shutdown_phase::stopped);
+    if (cut_off > 0)
+        log_event(event::requests_cut, {{"count", std::to_string(cut_off)}});
+    stopped_.set_value(cut_off);
+}
+
+void shutdown_service::log_phase(shutdown_phase phase) const
+{
+    log_event(
+        event::shutdown_phase, {{"phase", std::string(to_string(phase))},
+                                {"in_flight", std::to_string(in_flight())}});
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/versions/bundle_subscriber.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <turmericlane_bundle/turmericlane_bundle.h>
+
+#include <memory>
+
+namespace turmericlane
+{
+
+/** Is told on the engine's loop when a bundle version comes into force.
+
+    @see version_service
+*/
+class bundle_subscriber
+{
+public:
+    virtual ~bundle_subscriber() = default;
+
+    /** A version is in force from now on. */
+    virtual void on_bundle(const std::shared_ptr<const bundle>& in_force) = 0;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_node/versions/version_service.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "../members/member_service.h"
+#include "bundle_subscriber.h"
+
+#include <mutex>
+#include <unordered_map>
+
+namespace turmericlane
+{
+
+/** What an instance says about its version. */
+struct version_status
+{
+    std::uint64_t version = 0;
+    std::chrono::milliseconds age{0};
+    std::string source;
+    bool confirmed = false;
+    /** Why requests are refused; none if they are served. */
+    reason why_not = reason::none;
+};
+
+/** The service "versions": which bundle is in force, from the configuration
+    service and from peers.
+
+    Methods are called on the engine's loop unless they say otherwise.
+
+    @see version_store, version_spread, platform_reader, startup_gate
+*/
+class version_service final : public service,
+                              private turn_participant,
+                              private peer_subscriber,
+                              private version_spread_actions,
+                              private platform_actions
+{
+public:
+    /** @param nonce     start-up nonce of this process
+        @param counters  must outlive the service */
+    version_service(
+        const node_settings& settings,
+        std::uint64_t nonce,
+        instance_counters& counters);
+    ~version_service() override;
+
+    std::string_view name() const noexcept override
+    {
+        return "versions";
+    }
+
+    std::optional<std::string> start(kernel& owner) override;
+    void stop() override;
+
+    /** Adds a subscriber, which must outlive the service's run. Called from
+        service::start. */
+    void subscribe(bundle_subscriber& added);
+
+    /** The bundle in force, or null. Any thread may call. */
+    std::shared_ptr<const bundle> in_force() const;
+
+    /** Version, age, source and readiness. */
+    version_status status() const;
+
+private:
+    time_point on_turn() override;
+    void on_pause(duration length) override;
+    void on_peer_seen(const message_header& header) override;
+    void on_message(
+        const message_header& header,
+        const bundle_request_message& message) override;
+    void on_message(
+        const message_header& header,
+        const bundle_delta_message& message) override;
+    void on_message(
+        const message_header& header,
+        const bundle_full_message& message) override;
+    std::vector<std::uint64_t> sample(std::size_t count) override;
+    void push(std::uint64_t peer, std::uint64_t version) override;
+    void request(std::uint64_t peer, std::uint64_t version) override;
+    void read(std::uint64_t after, duration wait) override;
+
+    void on_platform_answer(const platform_answer& answer);
+    void handle(
+        const offer_outcome& outcome,
+        version_origin origin,
+        std::uint64_t peer,
+        std::uint64_t version);
+    void put_in_force(version_origin origin, std::uint64_t peer);
+    void send_bundle(ordinal to, std::uint64_t have_version);
+    void update_role(time_point now);
+    void log_unconfirmed();
+
+    const node_settings& settings_;
+    std::uint64_t nonce_;
+    instance_counters& counters_;
+    std::shared_ptr<engine> engine_;
+    std::shared_ptr<peer_service> peers_;
+    std::shared_ptr<member_service> members_;
+    std::unique_ptr<version_store> store_;
+    std::unique_ptr<version_spread> spread_;
+    std::unique_ptr<platform_reader> reader_;
+    std::unique_ptr<startup_gate> gate_;
+    platform_client configuration_;
+    bool configuration_failed_ = false;
+    bool unconfirmed_logged_ = false;
+    time_point next_role_check_{};
+    std::unordered_map<std::uint64_t, std::uint64_t> peer_versions_;
+    std::vector<bundle_subscriber*> subscribers_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<const bundle> in_force_;
+};
+
+} // namespace turmericlane
