--- a/modules/turmericlane_wire/frame/frame_encoder.h
+++ b/modules/turmericlane_wire/frame/frame_encoder.h
@@ -34,10 +34,4 @@
     std::uint64_t next_sequence_ = 0;
 };
 
-/** Returns the size of the frame that holds a payload of that size. */
-constexpr std::size_t frame_bytes(std::size_t payload_bytes) noexcept
-{
-    return frame_header_bytes + payload_bytes + frame_mac_bytes;
-}
-
 } // namespace turmericlane
--- a/modules/turmericlane_wire/frame/frame_header.h
+++ b/modules/turmericlane_wire/frame/frame_header.h
@@ -41,10 +41,20 @@
 /** Largest payload: 4 MiB. */
 inline constexpr std::size_t frame_payload_limit_bytes = std::size_t{4} << 20U;
 
+/** Largest payload of a hello. A peer that has not proved its identity cannot
+    make this side keep more. */
+inline constexpr std::size_t hello_payload_limit_bytes = 1024;
+
 /** Payloads are a multiple of this, so that in a buffer of consecutive frames
     each payload has the alignment that FlatBuffers needs. */
 inline constexpr std::size_t frame_payload_alignment_bytes = 8;
 
+/** Returns the size of the frame that holds a payload of that size. */
+constexpr std::size_t frame_bytes(std::size_t payload_bytes) noexcept
+{
+    return frame_header_bytes + payload_bytes + frame_mac_bytes;
+}
+
 /** The header of a frame in its wire form. */
 using frame_header_buffer = std::array<std::uint8_t, frame_header_bytes>;
 
--- /dev/null
+++ b/modules/turmericlane_wire/messages/message_decoder.cpp
@@ -0,0 +1,295 @@
+#include "message_decoder.h"
+
+#include <messages_generated.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+// Runs the verifier; no field is read before it.
+template <class Table>
+const Table* verified(std::span<const std::uint8_t> payload)
+{
+    assert(reinterpret_cast<std::uintptr_t>(payload.data()) % 8 == 0);
+    flatbuffers::Verifier verifier(payload.data(), payload.size());
+    if (!verifier.VerifyBuffer<Table>(nullptr))
+        return nullptr;
+    return flatbuffers::GetRoot<Table>(payload.data());
+}
+
+message_header convert(const schema::sender_state& from)
+{
+    return {from.nonce(), from.ordinal(), from.bundle_version()};
+}
+
+query_id convert(const schema::query_id& from)
+{
+    return {from.nonce(), from.counter()};
+}
+
+group_id convert(const schema::group_id& from)
+{
+    return {from.service(), from.partition()};
+}
+
+bool assign(rank& to, schema::rank from)
+{
+    if (static_cast<std::size_t>(from) >= rank_count)
+        return false;
+    to = static_cast<rank>(from);
+    return true;
+}
+
+bool assign(verdict& to, const schema::verdict& from)
+{
+    auto why = parse_reason(from.why());
+    if (!why || from.outcome() > static_cast<std::uint8_t>(outcome::ran))
+        return false;
+    to = {static_cast<outcome>(from.outcome()), *why};
+    return true;
+}
+
+bool assign(duration& to, std::int64_t from_ns)
+{
+    if (from_ns < 0)
+        return false;
+    to = std::chrono::nanoseconds(from_ns);
+    return true;
+}
+
+bool assign(hit& to, const schema::hit& from)
+{
+    // A score that is not a number has no place in the order of the hits.
+    if (!std::isfinite(from.score()))
+        return false;
+    to.document = from.document()->str();
+    to.score = from.score();
+    return true;
+}
+
+bool assign(shard_reply& to, const schema::shard_reply& from)
+{
+    to.id = convert(*from.id());
+    to.attempt = from.attempt();
+    to.group = convert(*from.group());
+    to.snapshot = from.snapshot();
+    to.epoch = from.epoch();
+    to.served = {from.oldest(), from.newest()};
+    to.sub_requests_sent = from.sub_requests_sent();
+    if (!assign(to.state, *from.state()) ||
+        !assign(to.queue_delay, from.queue_delay_ns()) ||
+        !assign(to.service_time, from.service_time_ns()))
+        return false;
+    if (from.hits() == nullptr)
+        return true;
+    to.hits.resize(from.hits()->size());
+    for (flatbuffers::uoffset_t n = 0; n < from.hits()->size(); ++n)
+        if (!assign(to.hits[n], *from.hits()->Get(n)))
+            return false;
+    return true;
+}
+
+bool assign(member_update& to, const schema::member& from)
+{
+    if (from.state() > schema::member_state::MAX)
+        return false;
+    to.address = from.address()->str();
+    to.peer_port = from.peer_port();
+    to.http_port = from.http_port();
+    to.data_centre = from.data_centre()->str();
+    to.instance = from.ordinal();
+    to.nonce = from.nonce();
+    to.incarnation = from.incarnation();
+    to.state = static_cast<member_state_code>(from.state());
+    to.reporter = from.reporter();
+    return true;
+}
+
+} // namespace
+
+template <>
+std::optional<received_message<hello_message>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::hello>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<hello_message> made{convert(*from->sender()), {}};
+    if (from->session_nonce()->size() != made.body.session.size())
+        return std::nullopt;
+    std::copy_n(
+        from->session_nonce()->data(), made.body.session.size(),
+        made.body.session.begin());
+    return made;
+}
+
+template <>
+std::optional<received_message<search_batch>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::search_batch>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<search_batch> made{convert(*from->sender()), {}};
+    auto& to = made.body;
+    to.id = convert(*from->id());
+    to.attempt = from->attempt();
+    to.snapshot = from->snapshot();
+    to.bundle_version = from->bundle_version();
+    to.limit = from->limit();
+    to.query = from->query()->str();
+    if (!assign(to.work, from->rank()) ||
+        !assign(to.time_left, from->time_left_ns()))
+        return std::nullopt;
+    to.parts.reserve(from->parts()->size());
+    for (const auto* it : *from->parts())
+        to.parts.push_back({convert(it->group()), it->epoch()});
+    return made;
+}
+
+template <>
+std::optional<received_message<shard_reply_batch>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::shard_reply_batch>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<shard_reply_batch> made{convert(*from->sender()), {}};
+    auto& to = made.body.replies;
+    to.resize(from->replies()->size());
+    for (flatbuffers::uoffset_t n = 0; n < from->replies()->size(); ++n)
+        if (!assign(to[n], *from->replies()->Get(n)))
+            return std::nullopt;
+    return made;
+}
+
+template <>
+std::optional<received_message<cancel_message>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::cancel>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    return received_message<cancel_message>{
+        convert(*from->sender()), {convert(*from->id())}};
+}
+
+template <>
+std::optional<received_message<booking_forward>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::booking_forward>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<booking_forward> made{convert(*from->sender()), {}};
+    auto& to = made.body;
+    to.id = convert(*from->id());
+    to.caller_request = from->caller_request()->str();
+    to.ticket = from->ticket()->str();
+    to.service = from->service()->str();
+    to.key = from->key()->str();
+    to.payload = from->payload()->str();
+    if (!assign(to.work, from->rank()) ||
+        !assign(to.time_left, from->time_left_ns()))
+        return std::nullopt;
+    return made;
+}
+
+template <>
+std::optional<received_message<booking_execute>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::booking_execute>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<booking_execute> made{convert(*from->sender()), {}};
+    auto& to = made.body;
+    to.id = convert(*from->id());
+    to.group = convert(*from->group());
+    to.request = from->request()->str();
+    to.key = from->key()->str();
+    to.payload = from->payload()->str();
+    if (!assign(to.work, from->rank()) ||
+        !assign(to.time_left, from->time_left_ns()))
+        return std::nullopt;
+    return made;
+}
+
+template <>
+std::optional<received_message<booking_reply>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::booking_reply>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<booking_reply> made{convert(*from->sender()), {}};
+    made.body.id = convert(*from->id());
+    made.body.result = from->result()->str();
+    if (!assign(made.body.state, *from->state()))
+        return std::nullopt;
+    return made;
+}
+
+template <>
+std::optional<received_message<heartbeat>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::heartbeat>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    received_message<heartbeat> made{convert(*from->sender()), {}};
+    auto& to = made.body;
+    to.number = from->number();
+    to.reply = from->reply();
+    to.full_state = from->full_state();
+    if (from->members() == nullptr)
+        return made;
+    to.members.resize(from->members()->size());
+    for (flatbuffers::uoffset_t n = 0; n < from->members()->size(); ++n)
+        if (!assign(to.members[n], *from->members()->Get(n)))
+            return std::nullopt;
+    return made;
+}
+
+template <>
+std::optional<received_message<bundle_request>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::bundle_request>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    return received_message<bundle_request>{
+        convert(*from->sender()), {from->have_version()}};
+}
+
+template <>
+std::optional<received_message<bundle_delta>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::bundle_delta>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    return received_message<bundle_delta>{
+        convert(*from->sender()),
+        {from->from_version(), from->to_version(), from->patch()->str(),
+         from->signature()->str(), from->key_id()->str()}};
+}
+
+template <>
+std::optional<received_message<bundle_full>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::bundle_full>(payload);
+    if (from == nullptr)
+        return std::nullopt;
+    return received_message<bundle_full>{
+        convert(*from->sender()), {from->version(), from->envelope()->str()}};
+}
+
+} // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_encoder.h
+++ b/modules/turmericlane_wire/messages/message_encoder.h
@@ -67,6 +67,7 @@
     encode(const message_header& header, const bundle_full& message);
 
 private:
+    flatbuffers::FlatBufferBuilder& begin();
     template <class Table>
     encoded_message finish(frame_type type, Table root);
 
