Parse, sign, compare and hold bundles

Cause: instances may put only checked and signed versions in force, and never a lower one.

Change: strict parser with JSON pointers in errors, canonical form, keys, envelopes, RFC 6902 deltas, structural diff and version_store. The library's patch asserts on an addition below a plain value and nests without bound, which a peer could use to stop the process; apply_delta refuses both, and copy and move. Numbers without a fraction become integers, so that 1 and 1.0 have one canonical form and a delta never misses a change of notation.

--- /dev/null
+++ b/modules/turmericlane_bundle/parse/parse_bundle.cpp
@@ -0,0 +1,29 @@
+#include "parse_bundle.h"
+
+#include "bundle_reader.h"
+
+namespace turmericlane
+{
+
+result<bundle, bundle_error>
+parse_bundle(std::string_view text, std::string_view file)
+{
+    auto document = parse_document(text, file);
+    if (!document)
+        return result<bundle, bundle_error>::failure(document.error());
+    return read_bundle(*document, file);
+}
+
+result<bundle, bundle_error>
+read_bundle(const nlohmann::json& document, std::string_view file)
+{
+    bundle_reader reader;
+    auto made = reader.read(document);
+    if (!reader.errors().failed())
+        return made;
+    auto error = reader.errors().first();
+    error.file = file;
+    return result<bundle, bundle_error>::failure(std::move(error));
+}
+
+} // namespace turmericlane
