Carry the structs of bookings, membership and versions in the wire messages

Cause: the wire module had its own structs for bookings and membership that lacked the owner's nonce, the issuer's serial, suspicions and digests, and names that clash with those of the bundle module. Change: the messages carry the state module's structs; the bundle messages carry the bundle module's text. Conclusion: one set of structs from decision to wire.

--- a/modules/turmericlane_wire/messages/message_decoder.cpp
+++ b/modules/turmericlane_wire/messages/message_decoder.cpp
@@ -95,19 +95,18 @@
     return true;
 }
 
-bool assign(member_update& to, const schema::member& from)
+bool assign(member& to, const schema::member& from)
 {
     if (from.state() > schema::member_state::MAX)
         return false;
-    to.address = from.address()->str();
-    to.peer_port = from.peer_port();
-    to.http_port = from.http_port();
+    to.where.address = from.address()->str();
+    to.where.peer_port = from.peer_port();
+    to.where.http_port = from.http_port();
     to.data_centre = from.data_centre()->str();
-    to.instance = from.ordinal();
+    to.index = from.ordinal();
     to.nonce = from.nonce();
     to.incarnation = from.incarnation();
-    to.state = static_cast<member_state_code>(from.state());
-    to.reporter = from.reporter();
+    to.state = static_cast<member_state>(from.state());
     return true;
 }
 
@@ -181,38 +180,42 @@
 }
 
 template <>
-std::optional<received_message<booking_forward>>
+std::optional<received_message<booking_forward_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::booking_forward>(payload);
     if (from == nullptr)
         return std::nullopt;
-    received_message<booking_forward> made{convert(*from->sender()), {}};
+    const auto permit = parse_ticket(from->ticket()->string_view());
+    if (!permit)
+        return std::nullopt;
+    received_message<booking_forward_message> made{
+        convert(*from->sender()), {}};
     auto& to = made.body;
-    to.id = convert(*from->id());
-    to.caller_request = from->caller_request()->str();
-    to.ticket = from->ticket()->str();
-    to.service = from->service()->str();
-    to.key = from->key()->str();
-    to.payload = from->payload()->str();
-    if (!assign(to.work, from->rank()) ||
+    to.id = from->id();
+    to.request.permit = *permit;
+    to.request.service = from->service();
+    to.request.key = from->key()->str();
+    to.request.payload = from->payload()->str();
+    if (!assign(to.request.work, from->rank()) ||
         !assign(to.time_left, from->time_left_ns()))
         return std::nullopt;
     return made;
 }
 
 template <>
-std::optional<received_message<booking_execute>>
+std::optional<received_message<booking_execute_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::booking_execute>(payload);
     if (from == nullptr)
         return std::nullopt;
-    received_message<booking_execute> made{convert(*from->sender()), {}};
-    auto& to = made.body;
-    to.id = convert(*from->id());
+    received_message<booking_execute_message> made{
+        convert(*from->sender()), {}};
+    auto& to = made.body.frame;
+    to.id = {from->issuer_nonce(), from->serial()};
+    to.owner_nonce = from->owner_nonce();
     to.group = convert(*from->group());
-    to.request = from->request()->str();
     to.key = from->key()->str();
     to.payload = from->payload()->str();
     if (!assign(to.work, from->rank()) ||
@@ -222,74 +225,83 @@
 }
 
 template <>
-std::optional<received_message<booking_reply>>
+std::optional<received_message<booking_reply_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::booking_reply>(payload);
     if (from == nullptr)
         return std::nullopt;
-    received_message<booking_reply> made{convert(*from->sender()), {}};
-    made.body.id = convert(*from->id());
-    made.body.result = from->result()->str();
-    if (!assign(made.body.state, *from->state()))
+    received_message<booking_reply_message> made{convert(*from->sender()), {}};
+    auto& to = made.body;
+    to.forwarded = from->forwarded();
+    to.forward = from->forward_id();
+    to.booking = {from->issuer_nonce(), from->serial()};
+    to.answer.status = from->status();
+    to.answer.body = from->body()->str();
+    if (!assign(to.answer.state, *from->state()))
         return std::nullopt;
     return made;
 }
 
 template <>
-std::optional<received_message<heartbeat>>
+std::optional<received_message<membership_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::heartbeat>(payload);
-    if (from == nullptr)
+    if (from == nullptr || from->kind() > schema::message_kind::MAX)
         return std::nullopt;
-    received_message<heartbeat> made{convert(*from->sender()), {}};
+    received_message<membership_message> made{convert(*from->sender()), {}};
     auto& to = made.body;
-    to.number = from->number();
-    to.reply = from->reply();
-    to.full_state = from->full_state();
-    if (from->members() == nullptr)
-        return made;
-    to.members.resize(from->members()->size());
-    for (flatbuffers::uoffset_t n = 0; n < from->members()->size(); ++n)
-        if (!assign(to.members[n], *from->members()->Get(n)))
-            return std::nullopt;
+    to.kind = static_cast<membership_message::type>(from->kind());
+    to.sequence = from->sequence();
+    to.digest = from->digest();
+    if (!assign(to.sender, *from->self()))
+        return std::nullopt;
+    if (from->members() != nullptr)
+    {
+        to.members.resize(from->members()->size());
+        for (flatbuffers::uoffset_t n = 0; n < from->members()->size(); ++n)
+            if (!assign(to.members[n], *from->members()->Get(n)))
+                return std::nullopt;
+    }
+    if (from->suspicions() != nullptr)
+        for (const auto* it : *from->suspicions())
+            to.suspicions.push_back(
+                {it->reporter(), it->subject(), it->incarnation()});
     return made;
 }
 
 template <>
-std::optional<received_message<bundle_request>>
+std::optional<received_message<bundle_request_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::bundle_request>(payload);
     if (from == nullptr)
         return std::nullopt;
-    return received_message<bundle_request>{
+    return received_message<bundle_request_message>{
         convert(*from->sender()), {from->have_version()}};
 }
 
 template <>
-std::optional<received_message<bundle_delta>>
+std::optional<received_message<bundle_delta_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::bundle_delta>(payload);
     if (from == nullptr)
         return std::nullopt;
-    return received_message<bundle_delta>{
-        convert(*from->sender()),
-        {from->from_version(), from->to_version(), from->patch()->str(),
-         from->signature()->str(), from->key_id()->str()}};
+    return received_message<bundle_delta_message>{
+        convert(*from->sender()), {from->text()->str()}};
 }
 
 template <>
-std::optional<received_message<bundle_full>>
+std::optional<received_message<bundle_full_message>>
 decode_message(std::span<const std::uint8_t> payload)
 {
     const auto* from = verified<schema::bundle_full>(payload);
     if (from == nullptr)
         return std::nullopt;
-    return received_message<bundle_full>{
-        convert(*from->sender()), {from->version(), from->envelope()->str()}};
+    return received_message<bundle_full_message>{
+        convert(*from->sender()), {from->text()->str()}};
 }
 
 } // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_decoder.h
+++ b/modules/turmericlane_wire/messages/message_decoder.h
@@ -21,8 +21,8 @@
     The FlatBuffers verifier runs before any access, required fields must be
     there, enumerations must be known, and times must not be negative. Any
    thread may call. There are specialisations for hello_message, search_batch,
-    shard_reply_batch, cancel_message, booking_forward, booking_execute,
-    booking_reply, heartbeat, bundle_request, bundle_delta and bundle_full.
+    shard_reply_batch, cancel_message, booking_forward_message, booking_execute_message,
+    booking_reply_message, membership_message, bundle_request_message, bundle_delta_message and bundle_full_message.
 
     @param payload  aligned to 8 bytes, as frame_decoder hands it out
     @returns nothing if the payload is not a valid message of that type
@@ -45,25 +45,25 @@
 std::optional<received_message<cancel_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<booking_forward>>
+std::optional<received_message<booking_forward_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<booking_execute>>
+std::optional<received_message<booking_execute_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<booking_reply>>
+std::optional<received_message<booking_reply_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<heartbeat>>
+std::optional<received_message<membership_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<bundle_request>>
+std::optional<received_message<bundle_request_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<bundle_delta>>
+std::optional<received_message<bundle_delta_message>>
 decode_message(std::span<const std::uint8_t> payload);
 template <>
-std::optional<received_message<bundle_full>>
+std::optional<received_message<bundle_full_message>>
 decode_message(std::span<const std::uint8_t> payload);
 
 } // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_encoder.cpp
+++ b/modules/turmericlane_wire/messages/message_encoder.cpp
@@ -71,14 +71,14 @@
 }
 
 flatbuffers::Offset<schema::member>
-convert(flatbuffers::FlatBufferBuilder& to, const member_update& from)
+convert(flatbuffers::FlatBufferBuilder& to, const member& from)
 {
-    auto address = to.CreateString(from.address);
+    auto address = to.CreateString(from.where.address);
     auto data_centre = to.CreateString(from.data_centre);
     return schema::Createmember(
-        to, address, from.peer_port, from.http_port, data_centre, from.instance,
-        from.nonce, from.incarnation,
-        static_cast<schema::member_state>(from.state), from.reporter);
+        to, address, from.where.peer_port, from.where.http_port, data_centre,
+        from.index, from.nonce, from.incarnation,
+        static_cast<schema::member_state>(from.state));
 }
 
 } // namespace
@@ -164,69 +164,77 @@
 }
 
 encoded_message message_encoder::encode(
-    const message_header& header, const booking_forward& message)
+    const message_header& header, const booking_forward_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
-    auto id = convert(message.id);
-    auto caller_request = to.CreateString(message.caller_request);
-    auto ticket = to.CreateString(message.ticket);
-    auto service = to.CreateString(message.service);
-    auto key = to.CreateString(message.key);
-    auto payload = to.CreateString(message.payload);
+    const auto& request = message.request;
+    auto ticket = to.CreateString(to_text(request.permit));
+    auto key = to.CreateString(request.key);
+    auto payload = to.CreateString(request.payload);
     return finish(
         frame_type::booking_forward,
         schema::Createbooking_forward(
-            to, &sender, &id, caller_request, ticket, service, key, payload,
-            convert(message.work), nanoseconds(message.time_left)));
+            to, &sender, message.id, ticket, request.service, key, payload,
+            convert(request.work), nanoseconds(message.time_left)));
 }
 
 encoded_message message_encoder::encode(
-    const message_header& header, const booking_execute& message)
+    const message_header& header, const booking_execute_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
-    auto id = convert(message.id);
-    auto group = convert(message.group);
-    auto request = to.CreateString(message.request);
-    auto key = to.CreateString(message.key);
-    auto payload = to.CreateString(message.payload);
+    const auto& frame = message.frame;
+    auto group = convert(frame.group);
+    auto key = to.CreateString(frame.key);
+    auto payload = to.CreateString(frame.payload);
     return finish(
         frame_type::booking_execute,
         schema::Createbooking_execute(
-            to, &sender, &id, &group, request, key, payload,
-            convert(message.work), nanoseconds(message.time_left)));
+            to, &sender, frame.id.issuer_nonce, frame.id.serial,
+            frame.owner_nonce, &group, key, payload, convert(frame.work),
+            nanoseconds(frame.time_left)));
 }
 
 encoded_message message_encoder::encode(
-    const message_header& header, const booking_reply& message)
+    const message_header& header, const booking_reply_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
-    auto id = convert(message.id);
-    auto state = convert(message.state);
-    auto text = to.CreateString(message.result);
+    auto state = convert(message.answer.state);
+    auto body = to.CreateString(message.answer.body);
     return finish(
         frame_type::booking_reply,
-        schema::Createbooking_reply(to, &sender, &id, &state, text));
+        schema::Createbooking_reply(
+            to, &sender, message.forwarded, message.forward,
+            message.booking.issuer_nonce, message.booking.serial, &state,
+            message.answer.status, body));
 }
 
-encoded_message
-message_encoder::encode(const message_header& header, const heartbeat& message)
+encoded_message message_encoder::encode(
+    const message_header& header, const membership_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
+    auto self = convert(to, message.sender);
     auto members = to.CreateVector<flatbuffers::Offset<schema::member>>(
         message.members.size(),
         [&](std::size_t n) { return convert(to, message.members[n]); });
+    schema::suspicion* suspicion = nullptr;
+    auto suspicions = to.CreateUninitializedVectorOfStructs(
+        message.suspicions.size(), &suspicion);
+    for (const auto& it : message.suspicions)
+        *suspicion++ =
+            schema::suspicion(it.reporter, it.subject, it.incarnation);
     return finish(
-        frame_type::heartbeat, schema::Createheartbeat(
-                                   to, &sender, message.number, message.reply,
-                                   message.full_state, members));
+        frame_type::heartbeat,
+        schema::Createheartbeat(
+            to, &sender, static_cast<schema::message_kind>(message.kind), self,
+            message.sequence, message.digest, members, suspicions));
 }
 
 encoded_message message_encoder::encode(
-    const message_header& header, const bundle_request& message)
+    const message_header& header, const bundle_request_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
@@ -236,29 +244,24 @@
 }
 
 encoded_message message_encoder::encode(
-    const message_header& header, const bundle_delta& message)
+    const message_header& header, const bundle_delta_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
-    auto patch = to.CreateString(message.patch);
-    auto signature = to.CreateString(message.signature);
-    auto key_id = to.CreateString(message.key_id);
+    auto text = to.CreateString(message.text);
     return finish(
         frame_type::bundle_delta,
-        schema::Createbundle_delta(
-            to, &sender, message.from_version, message.to_version, patch,
-            signature, key_id));
+        schema::Createbundle_delta(to, &sender, text));
 }
 
 encoded_message message_encoder::encode(
-    const message_header& header, const bundle_full& message)
+    const message_header& header, const bundle_full_message& message)
 {
     auto& to = begin();
     auto sender = convert(header);
-    auto envelope = to.CreateString(message.envelope);
+    auto text = to.CreateString(message.text);
     return finish(
-        frame_type::bundle_full,
-        schema::Createbundle_full(to, &sender, message.version, envelope));
+        frame_type::bundle_full, schema::Createbundle_full(to, &sender, text));
 }
 
 } // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_encoder.h
+++ b/modules/turmericlane_wire/messages/message_encoder.h
@@ -52,19 +52,19 @@
     encoded_message
     encode(const message_header& header, const cancel_message& message);
     encoded_message
-    encode(const message_header& header, const booking_forward& message);
+    encode(const message_header& header, const booking_forward_message& message);
     encoded_message
-    encode(const message_header& header, const booking_execute& message);
+    encode(const message_header& header, const booking_execute_message& message);
     encoded_message
-    encode(const message_header& header, const booking_reply& message);
+    encode(const message_header& header, const booking_reply_message& message);
     encoded_message
-    encode(const message_header& header, const heartbeat& message);
+    encode(const message_header& header, const membership_message& message);
     encoded_message
-    encode(const message_header& header, const bundle_request& message);
+    encode(const message_header& header, const bundle_request_message& message);
     encoded_message
-    encode(const message_header& header, const bundle_delta& message);
+    encode(const message_header& header, const bundle_delta_message& message);
     encoded_message
-    encode(const message_header& header, const bundle_full& message);
+    encode(const message_header& header, const bundle_full_message& message);
 
 private:
     flatbuffers::FlatBufferBuilder& begin();
--- a/modules/turmericlane_wire/messages/peer_messages.h
+++ b/modules/turmericlane_wire/messages/peer_messages.h
@@ -4,6 +4,7 @@
 
 #include <turmericlane_core/turmericlane_core.h>
 #include <turmericlane_decisions/messages/search_messages.h>
+#include <turmericlane_state/turmericlane_state.h>
 
 #include <cstdint>
 #include <string>
@@ -48,110 +49,59 @@
 };
 
 /** A booking on its way to the instance that issued its ticket. */
-struct booking_forward
+struct booking_forward_message
 {
-    /** Id under which the sender awaits the booking_reply. */
-    query_id id;
-    /** The caller's own id. */
-    std::string caller_request;
-    std::string ticket;
-    std::string service;
-    std::string key;
-    std::string payload;
-    rank work = rank::ordinary;
+    /** Id under which the sender awaits the reply. */
+    forward_id id = 0;
+    /** The deadline is not carried; the receiver derives it from time_left. */
+    booking_request request;
     /** Time that is left at the moment of sending; not negative. */
     duration time_left{};
 };
 
 /** A booking on its way from the issuer to the owner of its group. */
-struct booking_execute
-{
-    /** Id under which the issuer awaits the booking_reply. */
-    query_id id;
-    group_id group;
-    /** Id that the backend server gets as X-Request-Id. */
-    std::string request;
-    std::string key;
-    std::string payload;
-    rank work = rank::ordinary;
-    /** Time that is left at the moment of sending; not negative. */
-    duration time_left{};
-};
-
-/** Answer to a booking_forward or booking_execute. */
-struct booking_reply
+struct booking_execute_message
 {
-    query_id id;
-    verdict state;
-    /** What the backend server answered, if it ran. */
-    std::string result;
+    booking_frame frame;
 };
 
-/** State of an instance in a sender's view. The values go over the wire. */
-enum class member_state_code : std::uint8_t
+/** Answer to a booking_forward_message or booking_execute_message. */
+struct booking_reply_message
 {
-    live,
-    leaving,
-    suspect,
-    gone
-};
-
-/** What a sender knows of one instance. */
-struct member_update
-{
-    std::string address;
-    std::uint16_t peer_port = 0;
-    std::uint16_t http_port = 0;
-    std::string data_centre;
-    ordinal instance = 0;
-    std::uint64_t nonce = 0;
-    std::uint64_t incarnation = 0;
-    member_state_code state = member_state_code::live;
-    /** Instance that observed the state itself. */
-    ordinal reporter = 0;
-
-    friend bool
-    operator==(const member_update&, const member_update&) = default;
-};
-
-/** Sign of life, with changes of the membership. */
-struct heartbeat
-{
-    /** Number that a reply repeats. */
-    std::uint64_t number = 0;
-    /** True for the answer to a heartbeat. */
-    bool reply = false;
-    /** True if members holds everything that the sender knows, and the receiver
-        shall answer in the same way. */
-    bool full_state = false;
-    std::vector<member_update> members;
+    /** True if it answers a booking_forward_message. */
+    bool forwarded = false;
+    /** Id of the booking_forward_message. */
+    forward_id forward = 0;
+    /** Booking of the booking_execute_message. */
+    booking_key booking;
+    booking_answer answer;
 };
 
 /** Asks for a newer bundle. */
-struct bundle_request
+struct bundle_request_message
 {
     /** Version that the sender has; a delta may start from it. 0 for none. */
     std::uint64_t have_version = 0;
 };
 
-/** Changes from one version of the bundle to a later one. */
-struct bundle_delta
+/** Changes from one version of the bundle to a later one.
+
+    @see bundle_delta
+*/
+struct bundle_delta_message
 {
-    std::uint64_t from_version = 0;
-    std::uint64_t to_version = 0;
-    /** RFC 6902 patch, JSON text. */
-    std::string patch;
-    /** Signature of the whole bundle after the patch, hexadecimal. */
-    std::string signature;
-    std::string key_id;
+    /** JSON text of the delta, with the signature of the whole. */
+    std::string text;
 };
 
-/** A whole bundle. */
-struct bundle_full
+/** A whole bundle.
+
+    @see envelope
+*/
+struct bundle_full_message
 {
-    std::uint64_t version = 0;
-    /** Signed envelope, JSON text. */
-    std::string envelope;
+    /** JSON text of the signed envelope. */
+    std::string text;
 };
 
 } // namespace turmericlane
