--- a/bench/run/run_result.h
+++ b/bench/run/run_result.h
@@ -18,6 +18,10 @@
     double p99_ms = 0.0;
     /** Mean over the answered. */
     double coverage = 0.0;
+    /** Sub-requests that were sent, and pairs of a query and a group among
+        them. */
+    std::uint64_t sub_requests = 0;
+    std::uint64_t needed = 0;
     /** Sub-requests beyond the first for each group, as a share. */
     double extra_load = 0.0;
     /** Mean coverage of the grouped services over the queries that were sent
--- a/bench/run/statistics.cpp
+++ b/bench/run/statistics.cpp
@@ -32,6 +32,14 @@
 
 } // namespace
 
+double extra(std::uint64_t sub_requests, std::uint64_t needed) noexcept
+{
+    if (needed == 0)
+        return 0.0;
+    return static_cast<double>(sub_requests) / static_cast<double>(needed) -
+           1.0;
+}
+
 statistics::statistics(
     const deployment& of, const scenario& what, time_point start)
     : deployment_(of)
@@ -51,15 +59,13 @@
 {
     rank_result made;
     std::vector<double> latencies;
-    std::uint64_t sub_requests = 0;
-    std::uint64_t needed = 0;
     for (const auto& it : all)
     {
         if (it.work != work || it.sent < start_ + bench_run::warm_up)
             continue;
         ++made.sent;
-        sub_requests += it.sub_requests;
-        needed += static_cast<std::uint64_t>(std::popcount(it.asked));
+        made.sub_requests += it.sub_requests;
+        made.needed += static_cast<std::uint64_t>(std::popcount(it.asked));
         if (!it.is_finished)
             continue;
         made.not_run += it.state.result == outcome::not_run ? 1 : 0;
@@ -75,10 +81,7 @@
     made.coverage = ratio(made.coverage, static_cast<double>(made.answered));
     made.p50_ms = percentile(latencies, 0.5);
     made.p99_ms = percentile(latencies, 0.99);
-    if (needed > 0)
-        made.extra_load = ratio(
-            static_cast<double>(sub_requests) - static_cast<double>(needed),
-            static_cast<double>(needed));
+    made.extra_load = extra(made.sub_requests, made.needed);
     made.coverage_after_loss = coverage_after_loss(all, work);
     made.busiest_share = share(all, work, deployment_.busiest);
     made.grouped_share = share(all, work, deployment_.busiest_grouped);
--- a/bench/run/statistics.h
+++ b/bench/run/statistics.h
@@ -6,6 +6,9 @@
 namespace turmericlane::bench
 {
 
+/** Extra load as a share; 0 if nothing was needed. */
+double extra(std::uint64_t sub_requests, std::uint64_t needed) noexcept;
+
 /** Computes the figures of a run from its query records. */
 class statistics
 {
