--- a/modules/turmericlane_decisions/owner/group_dispatcher.h
+++ b/modules/turmericlane_decisions/owner/group_dispatcher.h
@@ -51,6 +51,10 @@
     /** An attempt ended. */
     void on_backend_reply(attempt_id id, const backend_reply& reply);
 
+    /** An attempt ended. The hits move from the reply to the entry's answer,
+        which saves a copy. */
+    void on_backend_reply(attempt_id id, backend_reply&& reply);
+
     /** The load endpoint of a backend server answered. */
     void on_load_report(const load_report& report);
 
--- /dev/null
+++ b/modules/turmericlane_decisions/owner/rank_queue.cpp
@@ -0,0 +1,125 @@
+#include "rank_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+
+// Slot time counts for about this long. It is the target of the slowest rank,
+// so that a share is granted within the time in which it is of use.
+constexpr seconds memory{1.0};
+constexpr duration decay_step = std::chrono::milliseconds(10);
+
+} // namespace
+
+void rank_queue::set_policy(const bundle& in_force, std::size_t capacity)
+{
+    for (std::size_t n = 0; n < rank_count; ++n)
+        ranks_[n].min_share = in_force.ranks[n].min_share;
+    capacity_ = capacity;
+}
+
+bool rank_queue::full(rank work) const
+{
+    return ranks_[index_of(work)].waiting >= capacity_;
+}
+
+void rank_queue::push(rank work, entry added)
+{
+    auto& state = ranks_[index_of(work)];
+    state.entries.push_back(added);
+    ++state.waiting;
+}
+
+void rank_queue::on_withdrawn(rank work)
+{
+    auto& state = ranks_[index_of(work)];
+    assert(state.waiting > 0);
+    --state.waiting;
+}
+
+rank_queue::entry rank_queue::front(rank work) const
+{
+    return ranks_[index_of(work)].entries.front();
+}
+
+void rank_queue::pop(rank work, bool withdrawn)
+{
+    auto& state = ranks_[index_of(work)];
+    assert(!state.entries.empty());
+    state.entries.pop_front();
+    if (withdrawn)
+        return;
+    assert(state.waiting > 0);
+    --state.waiting;
+}
+
+bool rank_queue::empty(rank work) const
+{
+    return ranks_[index_of(work)].entries.empty();
+}
+
+std::optional<rank> rank_queue::next(time_point now)
+{
+    decay(now);
+    double total = 0.0;
+    for (const auto& it : ranks_)
+        total += it.used;
+    std::optional<rank> most_urgent;
+    std::optional<rank> owed;
+    double lowest = 1.0;
+    for (auto it : all_ranks)
+    {
+        const auto& state = ranks_[index_of(it)];
+        if (state.waiting == 0)
+            continue;
+        if (!most_urgent)
+            most_urgent = it;
+        auto guaranteed = state.min_share * total;
+        if (guaranteed <= 0.0 || state.used / guaranteed >= lowest)
+            continue;
+        lowest = state.used / guaranteed;
+        owed = it;
+    }
+    return owed ? owed : most_urgent;
+}
+
+void rank_queue::charge(rank work, duration slot_time, time_point now)
+{
+    decay(now);
+    auto& used = ranks_[index_of(work)].used;
+    used = std::max(0.0, used + seconds(slot_time).count());
+}
+
+std::size_t rank_queue::waiting(rank work) const
+{
+    return ranks_[index_of(work)].waiting;
+}
+
+std::size_t rank_queue::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto& it : ranks_)
+        sum += it.waiting;
+    return sum;
+}
+
+void rank_queue::decay(time_point now)
+{
+    auto passed = now - decayed_;
+    if (passed < decay_step)
+        return;
+    auto factor = std::exp(-(seconds(passed) / memory));
+    for (auto& it : ranks_)
+        it.used *= factor;
+    decayed_ = now;
+}
+
+} // namespace turmericlane
--- a/modules/turmericlane_decisions/routing/owner_map.h
+++ b/modules/turmericlane_decisions/routing/owner_map.h
@@ -3,6 +3,7 @@
 #include <turmericlane_bundle/turmericlane_bundle.h>
 
 #include <span>
+#include <string>
 #include <vector>
 
 namespace turmericlane
@@ -22,13 +23,32 @@
     /** Computes the candidates of every group of a bundle. */
     explicit owner_map(const bundle& of);
 
+    /** Computes the candidates of every group of a bundle, and copies those of
+        services that have the same name and groups in an earlier bundle with
+        the same number of instances and candidates. */
+    owner_map(const bundle& of, const owner_map& earlier);
+
     /** Candidates of a group in order of preference; empty for an unknown
         group. */
     std::span<const ordinal> candidates(group_id id) const;
 
 private:
+    struct service_row
+    {
+        std::uint32_t id = 0;
+        std::string name;
+        /** candidate_count_ ordinals for each group. */
+        std::vector<ordinal> owners;
+    };
+
+    void fill(const bundle& of, const owner_map* earlier);
+    void append_candidates(service_row& row, std::uint32_t partition) const;
+    const service_row* find_row(std::uint32_t id) const;
+
+    std::uint32_t instance_count_ = 0;
     std::uint32_t candidate_count_ = 0;
-    std::vector<std::pair<std::uint32_t, std::vector<ordinal>>> services_;
+    /** In ascending order of the service id. */
+    std::vector<service_row> services_;
 };
 
 } // namespace turmericlane
