--- /dev/null
+++ b/modules/turmericlane_decisions/routing/key_partition.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <turmericlane_bundle/turmericlane_bundle.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace turmericlane
+{
+
+/** Returns the partition that a booking's key belongs to, by hash. The service
+    must have at least one group. */
+std::uint32_t partition_of(const service_map& service, std::string_view key);
+
+} // namespace turmericlane
--- a/modules/turmericlane_decisions/turmericlane_decisions.h
+++ b/modules/turmericlane_decisions/turmericlane_decisions.h
@@ -10,4 +10,5 @@
 #include "entry/search_coordinator.h"
 #include "messages/search_messages.h"
 #include "owner/group_dispatcher.h"
+#include "routing/key_partition.h"
 #include "routing/owner_map.h"
--- a/modules/turmericlane_node/backends/backend_service.h
+++ b/modules/turmericlane_node/backends/backend_service.h
@@ -35,8 +35,8 @@
     @see backend_pool, group_dispatcher
 */
 class backend_service final : public service,
-                              private turn_participant,
-                              private bundle_subscriber
+                              public turn_participant,
+                              public bundle_subscriber
 {
 public:
     explicit backend_service(const node_settings& settings);
--- a/modules/turmericlane_node/bookings/booking_service.h
+++ b/modules/turmericlane_node/bookings/booking_service.h
@@ -17,12 +17,12 @@
     @see booking_coordinator, booking_executor
 */
 class booking_service final : public service,
-                              private turn_participant,
-                              private peer_subscriber,
-                              private bundle_subscriber,
-                              private booking_actions,
-                              private booking_directory,
-                              private booking_backend
+                              public turn_participant,
+                              public peer_subscriber,
+                              public bundle_subscriber,
+                              public booking_actions,
+                              public booking_directory,
+                              public booking_backend
 {
 public:
     using answer_handler = std::function<void(const booking_answer&)>;
--- a/modules/turmericlane_node/engine/engine.h
+++ b/modules/turmericlane_node/engine/engine.h
@@ -31,7 +31,7 @@
 
     @see event_loop, turn_participant
 */
-class engine final : public service, private event_loop_listener
+class engine final : public service, public event_loop_listener
 {
 public:
     engine();
--- a/modules/turmericlane_node/members/member_service.h
+++ b/modules/turmericlane_node/members/member_service.h
@@ -21,9 +21,9 @@
 */
 class member_service final : public service,
                              public owner_directory,
-                             private turn_participant,
-                             private peer_subscriber,
-                             private membership_actions
+                             public turn_participant,
+                             public peer_subscriber,
+                             public membership_actions
 {
 public:
     /** @param nonce     start-up nonce of this process
--- a/modules/turmericlane_node/peers/peer_service.h
+++ b/modules/turmericlane_node/peers/peer_service.h
@@ -18,7 +18,7 @@
 
     @see peer_network, peer_subscriber
 */
-class peer_service final : public service, private peer_listener
+class peer_service final : public service, public peer_listener
 {
 public:
     /** @param settings  addresses and keys
--- a/modules/turmericlane_node/search/search_service.h
+++ b/modules/turmericlane_node/search/search_service.h
@@ -18,13 +18,13 @@
     @see search_coordinator, group_dispatcher
 */
 class search_service final : public service,
-                             private turn_participant,
-                             private peer_subscriber,
-                             private bundle_subscriber,
-                             private backend_listener,
-                             private entry_actions,
-                             private owner_actions,
-                             private reason_listener
+                             public turn_participant,
+                             public peer_subscriber,
+                             public bundle_subscriber,
+                             public backend_listener,
+                             public entry_actions,
+                             public owner_actions,
+                             public reason_listener
 {
 public:
     using answer_handler = std::function<void(const search_answer&)>;
--- a/modules/turmericlane_node/shutdown/shutdown_service.h
+++ b/modules/turmericlane_node/shutdown/shutdown_service.h
@@ -14,8 +14,8 @@
     @see shutdown_sequence
 */
 class shutdown_service final : public service,
-                               private turn_participant,
-                               private shutdown_actions
+                               public turn_participant,
+                               public shutdown_actions
 {
 public:
     explicit shutdown_service(const node_settings& settings);
--- a/modules/turmericlane_node/versions/version_service.h
+++ b/modules/turmericlane_node/versions/version_service.h
@@ -28,10 +28,10 @@
     @see version_store, version_spread, platform_reader, startup_gate
 */
 class version_service final : public service,
-                              private turn_participant,
-                              private peer_subscriber,
-                              private version_spread_actions,
-                              private platform_actions
+                              public turn_participant,
+                              public peer_subscriber,
+                              public version_spread_actions,
+                              public platform_actions
 {
 public:
     /** @param nonce     start-up nonce of this process
