Add typed settings from flags and the environment

Cause: both binaries need checked settings with one form of flags, environment variables, help and errors.

Change: module settings with integer, millisecond, real, flag, choice, text and endpoint list settings. Flags are parsed by getopt_long and go before TURMERICLANE_... variables, which go before defaults. An error is one line that names setting, value and accepted range. Secrets are read from the environment only and never printed.

The test of secrets found that the help printed the present value as the default; the help now keeps the default.

Conclusion: ready for the daemon and the client.

--- /dev/null
+++ b/modules/turmericlane_settings/options/setting.cpp
@@ -0,0 +1,52 @@
+#include "setting.h"
+
+#include <cassert>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+bool is_flag_name(std::string_view name)
+{
+    if (name.empty() || name.front() == '-' || name.back() == '-')
+        return false;
+    for (auto it : name)
+        if (!(it >= 'a' && it <= 'z') && !(it >= '0' && it <= '9') && it != '-')
+            return false;
+    return true;
+}
+
+} // namespace
+
+setting::setting(setting_description description)
+    : description_(std::move(description))
+{
+    assert(is_flag_name(description_.name));
+    assert(!description_.help.empty());
+}
+
+const setting_description& setting::description() const noexcept
+{
+    return description_;
+}
+
+std::string setting::variable() const
+{
+    std::string made = "TURMERICLANE_";
+    for (auto it : description_.name)
+    {
+        auto is_lower = it >= 'a' && it <= 'z';
+        auto upper = is_lower ? static_cast<char>(it - 'a' + 'A') : it;
+        made += it == '-' ? '_' : upper;
+    }
+    return made;
+}
+
+bool setting::is_flag() const noexcept
+{
+    return false;
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_settings/turmericlane_settings.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/** @file
+    Module settings: typed settings from flags and the environment.
+
+    Dependencies: core.
+    It must not know what any setting means, nor read any file.
+*/
+
+#include "options/choice_setting.h"
+#include "options/endpoint_list_setting.h"
+#include "options/flag_setting.h"
+#include "options/integer_setting.h"
+#include "options/millisecond_setting.h"
+#include "options/real_setting.h"
+#include "options/setting.h"
+#include "options/text_setting.h"
+#include "parser/environment.h"
+#include "parser/settings.h"
