--- a/modules/turmericlane_node/settings/node_settings.h
+++ b/modules/turmericlane_node/settings/node_settings.h
@@ -4,6 +4,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <iosfwd>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -54,4 +56,12 @@
     std::size_t http_threads = 128;
 };
 
+/** Reads and checks the settings from flags and the environment.
+    @param arguments  arguments of the program, its name first
+    @param help       where --help is printed
+    @returns the settings; on failure one line that names setting, value and
+             accepted range, or an empty text after --help */
+result<node_settings> read_node_settings(
+    std::span<const char* const> arguments, std::ostream& help);
+
 } // namespace turmericlane
