Add the TCP sessions between instances

Cause: batches, replies and bookings travel between instances; a sender has to know whether a byte may have left, and an unknown or slow peer must not cost more than its connection.

Change: peer_network accepts sessions (peer_server), keeps outgoing ones connected with jittered back-off (peer_client), and sends by ordinal, address or session. Each session belongs to one of a few network threads. The acceptor answers only a valid hello, and a peer is announced only after its first frame under the session key, since a recorded hello is authentic as well. Messages that queue up during a write leave in the next one. The write queue, the hello and each frame are bounded; each violation closes the connection and counts one reason.

Conclusion: send returns false only if no byte leaves; stop writes what was queued before.

--- /dev/null
+++ b/modules/turmericlane_net/peers/io_threads.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** A fixed number of network threads, each with its own io_context.
+
+    A socket belongs to one of them for its whole life, so that its handlers
+   need no lock against each other.
+
+    @see peer_session
+*/
+class io_threads
+{
+public:
+    /** Creates the contexts; no thread runs yet.
+        @param count  at least 1 */
+    explicit io_threads(std::size_t count);
+
+    /** Joins the threads. */
+    ~io_threads();
+    io_threads(const io_threads&) = delete;
+    io_threads& operator=(const io_threads&) = delete;
+
+    /** Starts the threads. */
+    void start();
+
+    /** Lets each thread end when its context has no work left, and joins them.
+        Sockets and timers have to be closed before. */
+    void join();
+
+    /** Returns the contexts in turn. Any thread may call. */
+    boost::asio::io_context& next() noexcept;
+
+    /** The context of accepted connections. */
+    boost::asio::io_context& first() noexcept;
+
+private:
+    using work_guard = boost::asio::executor_work_guard<
+        boost::asio::io_context::executor_type>;
+
+    std::vector<std::unique_ptr<boost::asio::io_context>> contexts_;
+    std::vector<work_guard> guards_;
+    std::vector<std::thread> threads_;
+    std::atomic<std::size_t> turn_{0};
+};
+
+} // namespace turmericlane
--- a/modules/turmericlane_net/peers/peer_listener.h
+++ b/modules/turmericlane_net/peers/peer_listener.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <tuple>
 
 namespace turmericlane
 {
@@ -17,7 +18,11 @@
     std::string host;
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const peer_address&, const peer_address&) = default;
+    friend bool operator==(const peer_address&, const peer_address&) = default;
+    friend bool operator<(const peer_address& a, const peer_address& b)
+    {
+        return std::tie(a.host, a.port) < std::tie(b.host, b.port);
+    }
 };
 
 /** The authenticated other side of one session. */
--- a/modules/turmericlane_net/peers/peer_network.h
+++ b/modules/turmericlane_net/peers/peer_network.h
@@ -72,6 +72,10 @@
     /** Queues a message for one session, such as the one a request came by. */
     bool send_to_session(std::uint64_t session, const encoded_message& message);
 
+    /** Closes one session, such as one whose peer no longer answers. A session
+        that connect opened is opened again. */
+    void close_session(std::uint64_t session);
+
     /** True if there is an authenticated session with that instance. */
     bool connected(ordinal with) const;
 
@@ -80,7 +84,7 @@
 
 private:
     class implementation;
-    std::shared_ptr<implementation> implementation_;
+    std::unique_ptr<implementation> implementation_;
 };
 
 } // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_net/tests/raw_peer.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <turmericlane_net/turmericlane_net.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <vector>
+
+namespace turmericlane
+{
+
+/** A peer that a test controls byte by byte, on a blocking socket. */
+class raw_peer
+{
+public:
+    using tcp = boost::asio::ip::tcp;
+
+    raw_peer(std::uint16_t port, const shared_key& key)
+        : authenticator_(session_role::initiator, {key}, make_session_nonce())
+    {
+        tcp::endpoint to(boost::asio::ip::make_address("127.0.0.1"), port);
+        socket_.connect(to);
+    }
+
+    /** Writes bytes; the other side may have closed already. */
+    void write(std::span<const std::uint8_t> bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(
+            socket_, boost::asio::buffer(bytes.data(), bytes.size()), ignored);
+    }
+
+    /** Returns a signed frame. */
+    std::vector<std::uint8_t> frame(const encoded_message& message)
+    {
+        std::vector<std::uint8_t> made;
+        encoder_.append_frame(message.type, message.payload, made);
+        return made;
+    }
+
+    /** Returns this side's next hello. */
+    std::vector<std::uint8_t> hello()
+    {
+        message_encoder encoder;
+        message_header header{nonce, instance, 1};
+        return frame(
+            encoder.encode(header, hello_message{authenticator_.nonce()}));
+    }
+
+    /** Completes the exchange of hellos. */
+    bool handshake()
+    {
+        write(hello());
+        if (!read_hello(true))
+            return false;
+        write(hello());
+        return read_hello(false);
+    }
+
+    /** Reads until the other side closes, and returns the number of bytes. */
+    std::size_t read_to_end()
+    {
+        std::size_t total = 0;
+        std::vector<std::uint8_t> buf(4096);
+        boost::system::error_code ec;
+        while (!ec)
+            total += socket_.read_some(boost::asio::buffer(buf), ec);
+        return total;
+    }
+
+    static constexpr std::uint64_t nonce = 77;
+    static constexpr ordinal instance = 9;
+
+private:
+    bool read_hello(bool first)
+    {
+        std::optional<received_frame> frame;
+        boost::system::error_code ec;
+        while (!(frame = decoder_.next()) && !ec)
+        {
+            auto to = decoder_.prepare();
+            decoder_.commit(socket_.read_some(
+                boost::asio::buffer(to.data(), to.size()), ec));
+        }
+        if (!frame)
+            return false;
+        auto hello = decode_message<hello_message>(frame->payload);
+        if (!hello)
+            return false;
+        return !first || authenticator_.establish(hello->body.session);
+    }
+
+    boost::asio::io_context context_;
+    tcp::socket socket_{context_};
+    session_authenticator authenticator_;
+    frame_encoder encoder_{authenticator_};
+    frame_decoder decoder_{authenticator_};
+};
+
+} // namespace turmericlane
