--- a/modules/turmericlane_net/tests/peer_tests.cpp
+++ b/modules/turmericlane_net/tests/peer_tests.cpp
@@ -72,12 +72,12 @@
 
 encoded_message make_message(message_encoder& encoder, std::uint64_t version)
 {
-    return encoder.encode({1, 1, 1}, bundle_request{version});
+    return encoder.encode({1, 1, 1}, bundle_request_message{version});
 }
 
 std::uint64_t version_of(const recording_listener::message& from)
 {
-    auto decoded = decode_message<bundle_request>(from.payload);
+    auto decoded = decode_message<bundle_request_message>(from.payload);
     return decoded ? decoded->body.have_version : 0;
 }
 
@@ -159,13 +159,13 @@
     first.network.connect(second.address());
     REQUIRE(first.events.wait_connected(1));
     message_encoder encoder;
-    bundle_full sent{1, std::string(frame_payload_limit_bytes - 200, 'x')};
+    bundle_full_message sent{std::string(frame_payload_limit_bytes - 200, 'x')};
     REQUIRE(first.network.send(ordinal{2}, encoder.encode({}, sent)));
     REQUIRE(second.events.wait_messages(1));
     auto payload = second.events.messages()[0].payload;
-    auto got = decode_message<bundle_full>(payload);
+    auto got = decode_message<bundle_full_message>(payload);
     REQUIRE(got);
-    CHECK(got->body.envelope == sent.envelope);
+    CHECK(got->body.text == sent.text);
 }
 
 TEST_CASE("a message without a connection is refused at once")
@@ -347,7 +347,7 @@
     REQUIRE(peer.handshake());
     REQUIRE(tested.events.wait_connected(1));
     message_encoder encoder;
-    bundle_full message{1, std::string(100'000, 'x')};
+    bundle_full_message message{std::string(100'000, 'x')};
     auto encoded = encoder.encode({}, message);
     std::size_t sent = 0;
     while (tested.network.send(ordinal{raw_peer::instance}, encoded))
--- a/modules/turmericlane_node/settings/node_settings.cpp
+++ b/modules/turmericlane_node/settings/node_settings.cpp
@@ -135,8 +135,8 @@
     if (outcome.state == parse_state::wrong)
         return failed::failure(outcome.error);
     auto made = values_of(declared);
-    if (!parse_endpoint(made.address + ":1") &&
-        !parse_endpoint("[" + made.address + "]:1"))
+    if (!parse_ip_endpoint(made.address + ":1") &&
+        !parse_ip_endpoint("[" + made.address + "]:1"))
         return failed::failure(
             "--address: \"" + made.address +
             "\" is wrong; accepted: IP number");
--- a/modules/turmericlane_settings/options/endpoint_list_setting.cpp
+++ b/modules/turmericlane_settings/options/endpoint_list_setting.cpp
@@ -29,14 +29,14 @@
 
 } // namespace
 
-std::string endpoint::to_string() const
+std::string ip_endpoint::to_string() const
 {
     auto is_v6 = address.find(':') != std::string::npos;
     auto host = is_v6 ? "[" + address + "]" : address;
     return host + ":" + std::to_string(port);
 }
 
-std::optional<endpoint> parse_endpoint(std::string_view text)
+std::optional<ip_endpoint> parse_ip_endpoint(std::string_view text)
 {
     auto colon = text.rfind(':');
     if (colon == std::string_view::npos)
@@ -51,7 +51,7 @@
     std::string address(host);
     if (!is_address(address, has_brackets ? AF_INET6 : AF_INET))
         return std::nullopt;
-    return endpoint{std::move(address), *port};
+    return ip_endpoint{std::move(address), *port};
 }
 
 endpoint_list_setting::endpoint_list_setting(
@@ -62,19 +62,19 @@
     assert(largest > 0);
 }
 
-const std::vector<endpoint>& endpoint_list_setting::value() const noexcept
+const std::vector<ip_endpoint>& endpoint_list_setting::value() const noexcept
 {
     return value_;
 }
 
 bool endpoint_list_setting::assign(std::string_view text)
 {
-    std::vector<endpoint> parsed;
+    std::vector<ip_endpoint> parsed;
     std::size_t position = 0;
     while (position <= text.size())
     {
         auto comma = std::min(text.find(',', position), text.size());
-        auto found = parse_endpoint(text.substr(position, comma - position));
+        auto found = parse_ip_endpoint(text.substr(position, comma - position));
         if (!found || parsed.size() == largest_)
             return false;
         parsed.push_back(std::move(*found));
--- a/modules/turmericlane_settings/tests/settings_tests.cpp
+++ b/modules/turmericlane_settings/tests/settings_tests.cpp
@@ -83,7 +83,7 @@
     CHECK(it.secret.value() == "abcd");
     CHECK(outcome.arguments == std::vector<std::string>{"file"});
     REQUIRE(it.peers.value().size() == 2);
-    CHECK(it.peers.value()[1] == endpoint{"::1", 2});
+    CHECK(it.peers.value()[1] == ip_endpoint{"::1", 2});
     CHECK(it.peers.text() == "127.0.0.1:1,[::1]:2");
 }
 
