State: add bookings, membership, version spread, start-up and shutdown

Cause: the daemon needs the decisions behind the state headers; a booking must run at most once through loss, repeats, crashes and pauses. Membership is not tested yet.

--- a/modules/turmericlane_state/booking/booking_coordinator.h
+++ b/modules/turmericlane_state/booking/booking_coordinator.h
@@ -76,8 +76,9 @@
     /** The issuer answered a booking that this instance forwarded. */
     void on_forward_reply(forward_id id, const booking_answer& answer);
 
-    /** The owner answered. Replies that match no booking, and replies after
-        the first, are ignored. */
+    /** The owner answered. Replies that match no booking, and replies after a
+        known outcome, are ignored. A reply after on_peer_lost still settles the
+        outcome for repeats. */
     void on_execute_reply(const booking_key& id, const booking_answer& answer);
 
     /** The session with that process is lost, with all frames in it. */
@@ -97,8 +98,7 @@
     /** Tickets that are remembered. */
     std::size_t tickets() const;
 
-    /** Bookings that were sent and have no outcome yet, and forwards without
-        reply. A drain waits for zero. */
+    /** Callers and entries that wait for an answer. A drain waits for zero. */
     std::size_t in_flight() const;
 
 private:
--- a/modules/turmericlane_state/booking/booking_executor.h
+++ b/modules/turmericlane_state/booking/booking_executor.h
@@ -45,8 +45,9 @@
     booking_executor(const booking_executor&) = delete;
     booking_executor& operator=(const booking_executor&) = delete;
 
-    /** A booking_execute frame arrived. A repeated frame gets the stored answer
-        or that of the execution in flight. */
+    /** A booking_execute frame arrived; the caller has checked that its issuer
+        nonce is that of the session. A repeated frame gets the stored answer or
+        that of the execution in flight. */
     void on_frame(ordinal issuer, const booking_frame& frame);
 
     /** A connection is there. Checks the time again, because the process may
@@ -71,7 +72,13 @@
     /** A process is gone for good: its records go once they are old. */
     void on_issuer_gone(std::uint64_t nonce);
 
-    /** To be called at or after next_wakeup. */
+    /** From now on, bookings that arrive for the first time are answered with
+        not_run/instance_leaving. */
+    void start_draining();
+
+    /** To be called at or after next_wakeup. A booking that waits for a
+        connection beyond its time is answered with not_run; the connection is
+        released when it comes. */
     void on_timer();
 
     /** When on_timer wants to be called; time_point::max() for never. */
--- a/modules/turmericlane_state/booking/booking_messages.h
+++ b/modules/turmericlane_state/booking/booking_messages.h
@@ -3,6 +3,7 @@
 #include "ticket.h"
 
 #include <string>
+#include <tuple>
 
 namespace turmericlane
 {
@@ -40,7 +41,13 @@
     std::uint64_t issuer_nonce = 0;
     std::uint64_t serial = 0;
 
-    friend auto operator<=>(const booking_key&, const booking_key&) = default;
+    friend bool operator==(const booking_key&, const booking_key&) = default;
+
+    friend bool operator<(const booking_key& a, const booking_key& b)
+    {
+        return std::tie(a.issuer_nonce, a.serial) <
+               std::tie(b.issuer_nonce, b.serial);
+    }
 };
 
 /** The frame from the issuer to the owner of the group (booking_execute). */
--- /dev/null
+++ b/modules/turmericlane_state/membership/member.cpp
@@ -0,0 +1,46 @@
+#include "member.h"
+
+namespace turmericlane
+{
+
+namespace
+{
+
+// Upper estimates of what FlatBuffers adds: offsets, tables and padding.
+constexpr std::size_t message_overhead_bytes = 120;
+constexpr std::size_t member_overhead_bytes = 72;
+constexpr std::size_t suspicion_bytes = 24;
+
+} // namespace
+
+std::string_view to_string(member_state value) noexcept
+{
+    switch (value)
+    {
+    case member_state::live:
+        return "live";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+std::size_t encoded_bytes(const member& value)
+{
+    return member_overhead_bytes + value.where.address.size() +
+           value.data_centre.size();
+}
+
+std::size_t encoded_bytes(const membership_message& message)
+{
+    auto n = message_overhead_bytes + encoded_bytes(message.sender);
+    for (const auto& it : message.members)
+        n += encoded_bytes(it);
+    return n + message.suspicions.size() * suspicion_bytes;
+}
+
+} // namespace turmericlane
--- a/modules/turmericlane_state/membership/member.h
+++ b/modules/turmericlane_state/membership/member.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace turmericlane
@@ -33,7 +34,13 @@
     std::uint16_t peer_port = 0;
     std::uint16_t http_port = 0;
 
-    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+
+    friend bool operator<(const endpoint& a, const endpoint& b)
+    {
+        return std::tie(a.address, a.peer_port, a.http_port) <
+               std::tie(b.address, b.peer_port, b.http_port);
+    }
 };
 
 /** One process of the fleet, as heartbeats and exchanges carry it. */
@@ -69,7 +76,13 @@
     std::uint64_t subject = 0;
     std::uint32_t incarnation = 0;
 
-    friend auto operator<=>(const suspicion&, const suspicion&) = default;
+    friend bool operator==(const suspicion&, const suspicion&) = default;
+
+    friend bool operator<(const suspicion& a, const suspicion& b)
+    {
+        return std::tie(a.subject, a.incarnation, a.reporter) <
+               std::tie(b.subject, b.incarnation, b.reporter);
+    }
 };
 
 /** Content of a heartbeat frame, of its acknowledgement, and of the two frames
@@ -97,6 +110,9 @@
     std::vector<suspicion> suspicions;
 };
 
+/** Upper estimate of a record's encoded size. */
+std::size_t encoded_bytes(const member& value);
+
 /** Upper estimate of a message's encoded size, frame included. */
 std::size_t encoded_bytes(const membership_message& message);
 
--- a/modules/turmericlane_state/membership/membership_table.h
+++ b/modules/turmericlane_state/membership/membership_table.h
@@ -27,9 +27,9 @@
     duration gone_time = std::chrono::hours(2);
     /** Changes carried by one heartbeat or acknowledgement at most. */
     std::size_t change_bytes = 900;
-    /** Shortest time between two full exchanges because of a digest that
-        differs; up to as much again is added at random. */
-    duration exchange_interval = std::chrono::seconds(60);
+    /** Full exchanges because of a digest that differs send at most this, and
+        on average two thirds of it. */
+    double exchange_bytes_per_second = 1000.0;
     /** Processes remembered at most. */
     std::size_t members = 10'000;
 };
@@ -93,6 +93,10 @@
         gone. */
     std::optional<member> find(ordinal index) const;
 
+    /** The nonce of the process in charge of an ordinal; 0 if none is live or
+        leaving. Cheaper than find, for the routing of each request. */
+    std::uint64_t usable_nonce(ordinal index) const;
+
     /** The process with that nonce, this one included. */
     std::optional<member> find_nonce(std::uint64_t nonce) const;
 
@@ -113,8 +117,8 @@
     /** Up to count different live peers, chosen at random. */
     std::vector<member> sample(std::size_t count);
 
-    /** False from a pause until a peer was heard again; true if there is no
-        live peer. */
+    /** False from a pause until a peer acknowledged a heartbeat that was sent
+        after it; true if there is no live peer. */
     bool fresh() const;
 
 private:
--- a/modules/turmericlane_state/membership/platform_reader.h
+++ b/modules/turmericlane_state/membership/platform_reader.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace turmericlane
 {
@@ -65,13 +66,14 @@
     void set_watching(bool watching);
 
     /** Asks for one read that does not wait, also if not watching: at the start
-        and after a pause. */
+        and after a pause. It is repeated with back-off until it succeeds. */
     void read_once();
 
     /** Tells the version in force, which the next read asks beyond. */
     void set_in_force(std::uint64_t version);
 
-    /** The service answered, with or without a new bundle. */
+    /** The service answered, with or without a new bundle. The next read may
+        start from inside, so set_in_force comes first. */
     void on_answer();
 
     /** The service could not be read, or its answer was refused. */
@@ -94,7 +96,6 @@
 
 private:
     void refill();
-    void start_read();
 
     platform_reader_limits limits_;
     std::mt19937_64 random_;
@@ -103,6 +104,8 @@
     bool watching_ = false;
     bool once_ = false;
     bool reading_ = false;
+    /** The read in flight does not wait, and is repeated if it fails. */
+    bool reading_once_ = false;
     std::uint64_t in_force_ = 0;
     std::uint32_t failures_ = 0;
     time_point not_before_ = time_point::min();
--- a/modules/turmericlane_state/membership/startup_gate.h
+++ b/modules/turmericlane_state/membership/startup_gate.h
@@ -32,7 +32,8 @@
         peer is waited for. */
     void on_peer_count(std::size_t count);
 
-    /** A peer answered and showed its version. */
+    /** A peer answered and showed its version. A peer without a bundle does not
+        count. */
     void on_peer_answer(std::uint64_t version);
 
     /** The platform answered and showed its version, or 0 for none newer. */
@@ -52,7 +53,8 @@
         serving. */
     reason why_not() const;
 
-    /** True if peers and platform confirmed the version in force. */
+    /** True once peers and platform have confirmed a version since the start or
+        the last pause. */
     bool version_confirmed() const;
 
     /** When serving() may change without an event; time_point::max() for
@@ -60,6 +62,8 @@
     time_point next_wakeup() const;
 
 private:
+    void update();
+
     duration limit_;
     const clock& clock_;
     time_point started_;
@@ -67,6 +71,9 @@
     bool platform_answered_ = false;
     bool platform_failed_ = false;
     bool alone_ = false;
+    /** Set once, so that a version that appears later does not close the gate
+        while it is on its way. */
+    bool confirmed_ = false;
     std::uint64_t highest_ = 0;
     std::uint64_t in_force_ = 0;
 };
--- a/modules/turmericlane_state/membership/version_spread.h
+++ b/modules/turmericlane_state/membership/version_spread.h
@@ -102,7 +102,6 @@
 
 private:
     void ask();
-    void fail(std::uint64_t peer);
     void drop_outdated_sources();
     bool was_refused(std::uint64_t peer, std::uint64_t version) const;
 
--- a/modules/turmericlane_state/shutdown/shutdown_sequence.h
+++ b/modules/turmericlane_state/shutdown/shutdown_sequence.h
@@ -74,7 +74,9 @@
     /** SIGTERM. The second one ends the shutdown at once. */
     void on_terminate();
 
-    /** Tells how many requests are in flight, as entry and as owner. */
+    /** Tells how many requests are in flight, as entry and as owner. While
+        draining, zero ends the shutdown; only a count that was taken after
+        shutdown_actions::drain is used for that. */
     void on_in_flight(std::size_t count);
 
     /** To be called at or after next_wakeup. */
