--- a/modules/turmericlane_decisions/owner/backend_server.cpp
+++ b/modules/turmericlane_decisions/owner/backend_server.cpp
@@ -63,6 +63,12 @@
     latency_ += (bounded - latency_) / weight;
 }
 
+duration backend_server::slow_for(bool slow, time_point now)
+{
+    slow_since_ = slow ? std::min(slow_since_, now) : time_point::max();
+    return slow ? now - slow_since_ : duration::zero();
+}
+
 void backend_server::on_failure()
 {
     ++failures_;
@@ -144,6 +150,7 @@
     auto doublings = std::min(ejections_, longest_ejection_doublings);
     ++ejections_;
     ejected_ = true;
+    slow_since_ = time_point::max();
     probing_ = false;
     good_probes_ = 0;
     probe_at_ = now + first_ejection * (1U << doublings);
--- a/modules/turmericlane_decisions/owner/backend_server.h
+++ b/modules/turmericlane_decisions/owner/backend_server.h
@@ -35,6 +35,10 @@
     /** A latency was measured, or a lower bound of it. */
     void on_latency(duration took);
 
+    /** Records whether the server is slow compared to others.
+        @returns for how long it has been without a break */
+    duration slow_for(bool slow, time_point now);
+
     /** A request failed in a way that may be the server's fault. */
     void on_failure();
 
@@ -150,6 +154,7 @@
     std::uint32_t failures_ = 0;
     std::uint32_t samples_ = 0;
     duration latency_{};
+    time_point slow_since_ = time_point::max();
     double reported_load_ = 0.0;
     std::uint32_t sent_since_report_ = 0;
     time_point reported_at_{};
--- a/modules/turmericlane_decisions/owner/rank_queue.cpp
+++ b/modules/turmericlane_decisions/owner/rank_queue.cpp
@@ -15,6 +15,9 @@
 // Slot time counts for about this long. It is the target of the slowest rank,
 // so that a share is granted within the time in which it is of use.
 constexpr seconds memory{1.0};
+// A rank is served up to a little more than its share, as some of its slot time
+// goes into queries that end incomplete.
+constexpr double share_margin = 1.15;
 constexpr duration decay_step = std::chrono::milliseconds(10);
 
 } // namespace
@@ -82,7 +85,7 @@
             continue;
         if (!most_urgent)
             most_urgent = it;
-        auto guaranteed = state.min_share * total;
+        auto guaranteed = share_margin * state.min_share * total;
         if (guaranteed <= 0.0 || state.used / guaranteed >= lowest)
             continue;
         lowest = state.used / guaranteed;
--- a/modules/turmericlane_decisions/owner/replica_set.cpp
+++ b/modules/turmericlane_decisions/owner/replica_set.cpp
@@ -10,8 +10,12 @@
 
 using namespace std::chrono_literals;
 
-// Latency of an outlier as a multiple of the best other server's.
-constexpr int outlier_multiple = 3;
+// Latency of an outlier as a multiple of the best other server's. A server
+// whose slots are held by cancelled requests is 3 to 4 times slower for a short
+// time; it is needed, and its cost already sends it less work.
+constexpr int outlier_multiple = 5;
+// How long a server has to be slow without a break to be an outlier.
+constexpr duration outlier_time = 200ms;
 // Below this many samples the smoothed latency is still noise.
 constexpr std::uint32_t outlier_samples = 16;
 constexpr std::uint32_t failures_to_eject = 3;
@@ -81,9 +85,9 @@
     if (of.ejected() || of.samples() < outlier_samples)
         return;
     auto best = best_latency(of, now);
-    if (best == duration::zero() || of.latency() < outlier_multiple * best)
-        return;
-    if (may_eject(now))
+    auto slow =
+        best != duration::zero() && of.latency() >= outlier_multiple * best;
+    if (of.slow_for(slow, now) >= outlier_time && may_eject(now))
         of.eject(now);
 }
 
