Eject a failing replica only after 150 ms of failures in a row

Cause: a server whose slots are all held by slow requests fails several attempts at once by time-out and was ejected for a second, which the group of three replicas at 60% load can't spare for long. Change: three failures limit a server to one request at a time at once, and eject it when they have lasted for 150 ms. Conclusion: ejection and time-outs no longer feed on each other.

--- a/modules/turmericlane_decisions/owner/backend_server.cpp
+++ b/modules/turmericlane_decisions/owner/backend_server.cpp
@@ -69,8 +69,10 @@
     return slow ? now - slow_since_ : duration::zero();
 }
 
-void backend_server::on_failure()
+void backend_server::on_failure(time_point now)
 {
+    if (failures_ == 0)
+        failing_since_ = now;
     ++failures_;
 }
 
--- a/modules/turmericlane_decisions/owner/backend_server.h
+++ b/modules/turmericlane_decisions/owner/backend_server.h
@@ -40,7 +40,7 @@
     duration slow_for(bool slow, time_point now);
 
     /** A request failed in a way that may be the server's fault. */
-    void on_failure();
+    void on_failure(time_point now);
 
     /** A request was answered. */
     void on_success();
@@ -118,6 +118,12 @@
         return failures_;
     }
 
+    /** Time of the first failure since the last success. */
+    time_point failing_since() const noexcept
+    {
+        return failing_since_;
+    }
+
     /** Smoothed latency; zero if not known. */
     duration latency() const noexcept
     {
@@ -154,6 +160,7 @@
     std::uint32_t failures_ = 0;
     std::uint32_t samples_ = 0;
     duration latency_{};
+    time_point failing_since_{};
     time_point slow_since_ = time_point::max();
     double reported_load_ = 0.0;
     std::uint32_t sent_since_report_ = 0;
--- a/modules/turmericlane_decisions/owner/fleet_state.cpp
+++ b/modules/turmericlane_decisions/owner/fleet_state.cpp
@@ -14,6 +14,8 @@
 // Entries that may wait for each slot. At 5 ms a request it is 0.6 s of work,
 // more than any rank but the slowest may wait.
 constexpr std::size_t queue_entries_per_slot = 128;
+// Requests in flight beyond the slots of a server; it hides the round trip.
+constexpr std::uint32_t requests_beyond_slots = 1;
 // Queries that are pinned to an earlier partition map may use its servers for
 // this long; the limit for new work after leaving is 3 s.
 constexpr duration removed_server_grace = 2s;
@@ -92,7 +94,7 @@
     if (content == nullptr || service->epoch != of.epoch)
         return;
     auto share = in_force_->connection_share(*service);
-    auto window = std::min(share, service->slots + 1);
+    auto window = std::min(share, service->slots + requests_beyond_slots);
     auto known = !of.replicas.servers().empty();
     std::vector<backend_server*> servers;
     of.slots = 0;
--- a/modules/turmericlane_decisions/owner/replica_set.cpp
+++ b/modules/turmericlane_decisions/owner/replica_set.cpp
@@ -19,6 +19,9 @@
 // Below this many samples the smoothed latency is still noise.
 constexpr std::uint32_t outlier_samples = 16;
 constexpr std::uint32_t failures_to_eject = 3;
+// A server whose slots are all held by slow requests answers again sooner than
+// this; meanwhile its failures limit it to one request at a time.
+constexpr duration failing_time = 150ms;
 constexpr std::size_t ejected_share = 3;
 // Costs within this factor are about equal, and the reported load decides.
 constexpr double about_equal = 1.25;
@@ -93,8 +96,10 @@
 
 void replica_set::on_failure(backend_server& of, time_point now)
 {
-    of.on_failure();
-    if (!of.ejected() && of.failures() >= failures_to_eject && may_eject(now))
+    of.on_failure(now);
+    auto failing = of.failures() >= failures_to_eject &&
+                   now - of.failing_since() >= failing_time;
+    if (!of.ejected() && failing && may_eject(now))
         of.eject(now);
 }
 
