--- a/modules/turmericlane_net/http/http_front.h
+++ b/modules/turmericlane_net/http/http_front.h
@@ -86,7 +86,7 @@
         leave, closes idle connections and joins the threads. */
     void stop();
 
-    /** Requests that are in a handler or being answered. */
+    /** Requests that are being read, handled or answered. */
     std::size_t in_flight() const;
 
 private:
