--- a/apps/turmericlaned/main.cpp
+++ b/apps/turmericlaned/main.cpp
@@ -76,7 +76,8 @@
 int main(int argc, char** argv)
 {
     const auto settings = read_node_settings(
-        std::span<const char* const>(argv, static_cast<std::size_t>(argc)), std::cout);
+        std::span<const char* const>(argv, static_cast<std::size_t>(argc)),
+        std::cout);
     if (!settings)
     {
         if (settings.error().empty())
--- a/modules/turmericlane_node/api/booking_api.cpp
+++ b/modules/turmericlane_node/api/booking_api.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t max_ticket_bytes = 512;
 constexpr std::size_t max_name_bytes = 128;
 constexpr std::size_t max_key_bytes = 256;
-constexpr std::size_t max_payload_bytes = 16 * 1024;
+constexpr std::size_t max_payload_bytes = std::size_t{16} * 1024;
 
 } // namespace
 
--- a/modules/turmericlane_node/bookings/booking_service.cpp
+++ b/modules/turmericlane_node/bookings/booking_service.cpp
@@ -63,9 +63,7 @@
     return std::nullopt;
 }
 
-void booking_service::stop()
-{
-}
+void booking_service::stop() {}
 
 result<ticket, reason> booking_service::issue()
 {
@@ -133,8 +131,7 @@
 {
     auto request = message.request;
     request.deadline = engine_->time().now() + message.time_left;
-    coordinator_->on_forward(
-        header.sender, header.nonce, message.id, request);
+    coordinator_->on_forward(header.sender, header.nonce, message.id, request);
 }
 
 void booking_service::on_message(
@@ -180,16 +177,13 @@
     booking_forward_message message;
     message.id = id;
     message.request = request;
-    message.time_left = std::max(
-        duration::zero(), request.deadline - engine_->time().now());
+    message.time_left =
+        std::max(duration::zero(), request.deadline - engine_->time().now());
     return peers_->send(issuer, message);
 }
 
 void booking_service::reply_forward(
-    ordinal entry,
-    std::uint64_t,
-    forward_id id,
-    const booking_answer& answer)
+    ordinal entry, std::uint64_t, forward_id id, const booking_answer& answer)
 {
     booking_reply_message message;
     message.forwarded = true;
--- a/modules/turmericlane_node/engine/engine.h
+++ b/modules/turmericlane_node/engine/engine.h
@@ -21,9 +21,7 @@
     virtual time_point on_turn() = 0;
 
     /** The process stood still for that long. */
-    virtual void on_pause(duration)
-    {
-    }
+    virtual void on_pause(duration) {}
 };
 
 /** The service "engine": the clock, and the one thread that owns the state of
--- a/modules/turmericlane_node/http/http_service.cpp
+++ b/modules/turmericlane_node/http/http_service.cpp
@@ -69,8 +69,8 @@
     if (!port)
         return port.error();
     log_event(
-        event::http_listening, {{"address", settings_.address},
-                                {"port", std::to_string(*port)}});
+        event::http_listening,
+        {{"address", settings_.address}, {"port", std::to_string(*port)}});
     return std::nullopt;
 }
 
@@ -112,8 +112,7 @@
         [this](int status)
         {
             const auto large = status == http_too_large;
-            const auto why =
-                large ? reason::body_too_large : reason::bad_field;
+            const auto why = large ? reason::body_too_large : reason::bad_field;
             auto response = refuse_with(
                 refuse(
                     why, large ? "the body is larger than " +
@@ -131,8 +130,7 @@
     return {http_status_of(error.state), to_json(error)};
 }
 
-std::optional<api_error>
-http_service::refusal_by_state(const http_request&)
+std::optional<api_error> http_service::refusal_by_state(const http_request&)
 {
     if (shutdown_->draining())
         return refuse(
@@ -158,8 +156,8 @@
     std::promise<search_answer> answered;
     auto answer = answered.get_future();
     const auto started = search_->search(
-        *parsed, [&answered](const search_answer& value)
-        { answered.set_value(value); });
+        *parsed,
+        [&answered](const search_answer& value) { answered.set_value(value); });
     if (!started)
         return refuse_with(
             refuse(
@@ -240,8 +238,7 @@
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
     nlohmann::json body;
-    body["lifetime_ms"] =
-        duration_cast<milliseconds>(answer->lifetime).count();
+    body["lifetime_ms"] = duration_cast<milliseconds>(answer->lifetime).count();
     body["instances"] = nlohmann::json::array();
     for (const auto& it : answer->instances)
         body["instances"].push_back(
--- a/modules/turmericlane_node/members/member_service.cpp
+++ b/modules/turmericlane_node/members/member_service.cpp
@@ -31,8 +31,7 @@
     engine_ = owner.find_as<engine>("engine");
     peers_ = owner.find_as<peer_service>("peers");
     member self;
-    self.where = {
-        settings_.address, settings_.peer_port, settings_.http_port};
+    self.where = {settings_.address, settings_.peer_port, settings_.http_port};
     self.data_centre = settings_.data_centre;
     self.index = settings_.index;
     self.nonce = nonce_;
@@ -124,9 +123,10 @@
 void member_service::changed(const member& value)
 {
     log_event(
-        event::member_changed, {{"ordinal", std::to_string(value.index)},
-                                {"nonce", std::to_string(value.nonce)},
-                                {"state", std::string(to_string(value.state))}});
+        event::member_changed,
+        {{"ordinal", std::to_string(value.index)},
+         {"nonce", std::to_string(value.nonce)},
+         {"state", std::string(to_string(value.state))}});
     const peer_address where{value.where.address, value.where.peer_port};
     if (value.state != member_state::gone)
         peers_->connect(where);
@@ -143,8 +143,8 @@
     if (index >= usable_.size())
         usable_.resize(index + 1);
     const auto found = table_->find(index);
-    usable_[index] = found && found->state == member_state::live &&
-                     peers_->connected(index);
+    usable_[index] =
+        found && found->state == member_state::live && peers_->connected(index);
 }
 
 void member_service::read_list()
--- a/modules/turmericlane_node/node/node.cpp
+++ b/modules/turmericlane_node/node/node.cpp
@@ -44,9 +44,8 @@
         kernel_.add(
             std::make_shared<booking_service>(settings_, nonce_, counters_));
         kernel_.add(shutdown_);
-        kernel_.add(
-            std::make_shared<http_service>(
-                settings_, nonce_, registry_, counters_));
+        kernel_.add(std::make_shared<http_service>(
+            settings_, nonce_, registry_, counters_));
     }
 
     std::optional<std::string> start()
--- a/modules/turmericlane_node/peers/peer_service.h
+++ b/modules/turmericlane_node/peers/peer_service.h
@@ -78,8 +78,8 @@
     message_header header() const;
 
     template <class T>
-    void forward(
-        const peer_identity& peer, std::span<const std::uint8_t> payload);
+    void
+    forward(const peer_identity& peer, std::span<const std::uint8_t> payload);
 
     const node_settings& settings_;
     std::uint64_t nonce_;
--- a/modules/turmericlane_node/peers/peer_subscriber.h
+++ b/modules/turmericlane_node/peers/peer_subscriber.h
@@ -17,31 +17,19 @@
     virtual ~peer_subscriber() = default;
 
     /** An authenticated session is up. */
-    virtual void on_peer_connected(const peer_identity&)
-    {
-    }
+    virtual void on_peer_connected(const peer_identity&) {}
 
     /** A session ended; frames that were queued in it may be lost. */
-    virtual void on_peer_lost(const peer_identity&)
-    {
-    }
+    virtual void on_peer_lost(const peer_identity&) {}
 
     /** Any message arrived; comes before its own method. */
-    virtual void on_peer_seen(const message_header&)
-    {
-    }
+    virtual void on_peer_seen(const message_header&) {}
 
-    virtual void on_message(const message_header&, const search_batch&)
-    {
-    }
+    virtual void on_message(const message_header&, const search_batch&) {}
 
-    virtual void on_message(const message_header&, const shard_reply_batch&)
-    {
-    }
+    virtual void on_message(const message_header&, const shard_reply_batch&) {}
 
-    virtual void on_message(const message_header&, const cancel_message&)
-    {
-    }
+    virtual void on_message(const message_header&, const cancel_message&) {}
 
     virtual void
     on_message(const message_header&, const booking_forward_message&)
@@ -57,9 +45,7 @@
     {
     }
 
-    virtual void on_message(const message_header&, const membership_message&)
-    {
-    }
+    virtual void on_message(const message_header&, const membership_message&) {}
 
     virtual void
     on_message(const message_header&, const bundle_request_message&)
--- a/modules/turmericlane_node/platform/platform_client.cpp
+++ b/modules/turmericlane_node/platform/platform_client.cpp
@@ -77,7 +77,7 @@
 platform_answer platform_client::read(const request& what)
 {
     client_->set_read_timeout(what.timeout);
-    const auto got = client_->Get(what.path);
+    auto got = client_->Get(what.path);
     if (!got)
         return {0, {}, httplib::to_string(got.error())};
     return {got->status, std::move(got->body), {}};
--- a/modules/turmericlane_node/search/search_service.cpp
+++ b/modules/turmericlane_node/search/search_service.cpp
@@ -37,9 +37,7 @@
     return std::nullopt;
 }
 
-void search_service::stop()
-{
-}
+void search_service::stop() {}
 
 bool search_service::search(const search_request& request, answer_handler done)
 {
@@ -165,8 +163,7 @@
     dispatcher_->on_bundle(in_force);
 }
 
-void search_service::on_backend_reply(
-    attempt_id id, const backend_reply& reply)
+void search_service::on_backend_reply(attempt_id id, const backend_reply& reply)
 {
     dispatcher_->on_backend_reply(id, reply);
 }
--- a/modules/turmericlane_node/search/search_service.h
+++ b/modules/turmericlane_node/search/search_service.h
@@ -66,22 +66,20 @@
     void on_message(
         const message_header& header, const cancel_message& message) override;
     void on_bundle(const std::shared_ptr<const bundle>& in_force) override;
-    void
-    on_backend_reply(attempt_id id, const backend_reply& reply) override;
+    void on_backend_reply(attempt_id id, const backend_reply& reply) override;
     void on_load_report(const load_report& report) override;
     void send_batch(ordinal owner, const search_batch& batch) override;
     void send_cancel(ordinal owner, query_id id) override;
     void finish(const search_answer& answer) override;
-    void
-    start_attempt(attempt_id id, const backend_request& request) override;
+    void start_attempt(attempt_id id, const backend_request& request) override;
     void cancel_attempt(attempt_id id) override;
     void reply(ordinal entry, const shard_reply& reply) override;
     void refused(reason why, rank work) override;
     void retried(reason why, rank work) override;
     void hedged(rank work) override;
 
-    void start_search(
-        const search_request& request, const answer_handler& done);
+    void
+    start_search(const search_request& request, const answer_handler& done);
     bool deliver_local();
     void run_timers();
     void send_replies();
--- a/modules/turmericlane_node/settings/node_settings.cpp
+++ b/modules/turmericlane_node/settings/node_settings.cpp
@@ -25,22 +25,27 @@
     settings all{"turmericlaned [FLAGS]", "Instance of the query tier."};
     text_setting& address = all.add<text_setting>(
         {"address", "IP number to listen on and to be reached at", "", true},
-        "IP number", 64);
+        "IP number",
+        64);
     integer_setting& http_port = all.add<integer_setting>(
-        {"http-port", "port for callers and operators", "port"}, 8080, 1,
+        {"http-port", "port for callers and operators", "port"},
+        8080,
+        1,
         max_port);
     integer_setting& peer_port = all.add<integer_setting>(
         {"peer-port", "port for other instances", "port"}, 7070, 1, max_port);
     text_setting& data_centre = all.add<text_setting>(
-        {"data-centre", "data centre of this instance", "", true}, "name",
-        128);
+        {"data-centre", "data centre of this instance", "", true}, "name", 128);
     text_setting& nearest = all.add<text_setting>(
         {"nearest-data-centres", "other data centres, nearest first"},
-        "names separated by commas", 4096);
+        "names separated by commas",
+        4096);
     integer_setting& index = all.add<integer_setting>(
         {"ordinal", "index of this instance; its replacement gets the same",
          "index", true},
-        0, 0, max_ordinal);
+        0,
+        0,
+        max_ordinal);
     endpoint_list_setting& configuration = all.add<endpoint_list_setting>(
         {"config-service", "configuration service", "", true}, 1);
     endpoint_list_setting& list = all.add<endpoint_list_setting>(
@@ -48,35 +53,50 @@
     text_setting& trusted = all.add<text_setting>(
         {"trusted-key", "public keys of the operators, or a file of them", "",
          true},
-        "64 hexadecimal digits each, or a file name", 4096);
+        "64 hexadecimal digits each, or a file name",
+        4096);
     text_setting& peer_keys = all.add<text_setting>(
         {"peer-key-file",
          "keys shared by the instances, one in each line, the first one signs",
          "", true},
-        "name of a file with mode 0600, or env:VARIABLE", 4096);
+        "name of a file with mode 0600, or env:VARIABLE",
+        4096);
     text_setting& log_folder = all.add<text_setting>(
         {"log-dir", "folder of the log; standard error if not set"},
-        "folder name", 4096);
+        "folder name",
+        4096);
     millisecond_setting& answer_lifetime = all.add<millisecond_setting>(
         {"answer-lifetime-ms",
          "how long callers may use an answer about instances"},
-        5000ms, 100ms, 600000ms);
+        5000ms,
+        100ms,
+        600000ms);
     millisecond_setting& shutdown_limit = all.add<millisecond_setting>(
-        {"shutdown-limit-ms", "longest time from SIGTERM to the end"}, 30000ms,
-        100ms, 3600000ms);
+        {"shutdown-limit-ms", "longest time from SIGTERM to the end"},
+        30000ms,
+        100ms,
+        3600000ms);
     millisecond_setting& startup_limit = all.add<millisecond_setting>(
         {"startup-limit-ms",
          "serves an unconfirmed version after this time without peers"},
-        5000ms, 100ms, 600000ms);
+        5000ms,
+        100ms,
+        600000ms);
     millisecond_setting& list_period = all.add<millisecond_setting>(
-        {"list-period-ms", "time between reads of the instance list"}, 1000ms,
-        100ms, 60000ms);
+        {"list-period-ms", "time between reads of the instance list"},
+        1000ms,
+        100ms,
+        60000ms);
     millisecond_setting& load_period = all.add<millisecond_setting>(
         {"load-period-ms", "time between reads of a backend server's load"},
-        500ms, 50ms, 60000ms);
+        500ms,
+        50ms,
+        60000ms);
     integer_setting& http_threads = all.add<integer_setting>(
         {"http-threads", "connections of callers served at the same time"},
-        128, 4, max_http_threads);
+        128,
+        4,
+        max_http_threads);
 };
 
 std::vector<std::string> split(const std::string& list)
@@ -121,8 +141,8 @@
 
 } // namespace
 
-result<node_settings> read_node_settings(
-    std::span<const char* const> arguments, std::ostream& help)
+result<node_settings>
+read_node_settings(std::span<const char* const> arguments, std::ostream& help)
 {
     declared_settings declared;
     const auto outcome =
--- a/modules/turmericlane_node/shutdown/shutdown_service.cpp
+++ b/modules/turmericlane_node/shutdown/shutdown_service.cpp
@@ -41,9 +41,7 @@
     return std::nullopt;
 }
 
-void shutdown_service::stop()
-{
-}
+void shutdown_service::stop() {}
 
 void shutdown_service::terminate()
 {
--- a/modules/turmericlane_node/versions/version_service.cpp
+++ b/modules/turmericlane_node/versions/version_service.cpp
@@ -244,9 +244,9 @@
 {
     if (answer.status != 200 && answer.status != 204)
     {
-        const auto detail = answer.status == 0
-                                ? answer.error
-                                : "HTTP status " + std::to_string(answer.status);
+        const auto detail =
+            answer.status == 0 ? answer.error
+                               : "HTTP status " + std::to_string(answer.status);
         if (!std::exchange(configuration_failed_, true))
             log_event(event::configuration_read_failed, {{"detail", detail}});
         gate_->on_platform_failure();
@@ -284,10 +284,11 @@
         return;
     counters_.refused(outcome.why, rank::ordinary);
     log_event(
-        event::bundle_refused, {{"reason", std::string(to_string(outcome.why))},
-                                {"version", std::to_string(version)},
-                                {"source", std::string(to_string(origin.source))},
-                                {"detail", outcome.detail}});
+        event::bundle_refused,
+        {{"reason", std::string(to_string(outcome.why))},
+         {"version", std::to_string(version)},
+         {"source", std::string(to_string(origin.source))},
+         {"detail", outcome.detail}});
     if (peer != 0)
         spread_->on_refused(peer, version);
 }
--- a/modules/turmericlane_wire/messages/message_decoder.h
+++ b/modules/turmericlane_wire/messages/message_decoder.h
@@ -21,8 +21,9 @@
     The FlatBuffers verifier runs before any access, required fields must be
     there, enumerations must be known, and times must not be negative. Any
    thread may call. There are specialisations for hello_message, search_batch,
-    shard_reply_batch, cancel_message, booking_forward_message, booking_execute_message,
-    booking_reply_message, membership_message, bundle_request_message, bundle_delta_message and bundle_full_message.
+    shard_reply_batch, cancel_message, booking_forward_message,
+   booking_execute_message, booking_reply_message, membership_message,
+   bundle_request_message, bundle_delta_message and bundle_full_message.
 
     @param payload  aligned to 8 bytes, as frame_decoder hands it out
     @returns nothing if the payload is not a valid message of that type
--- a/modules/turmericlane_wire/messages/message_encoder.h
+++ b/modules/turmericlane_wire/messages/message_encoder.h
@@ -51,10 +51,10 @@
     encode(const message_header& header, std::span<const shard_reply> replies);
     encoded_message
     encode(const message_header& header, const cancel_message& message);
-    encoded_message
-    encode(const message_header& header, const booking_forward_message& message);
-    encoded_message
-    encode(const message_header& header, const booking_execute_message& message);
+    encoded_message encode(
+        const message_header& header, const booking_forward_message& message);
+    encoded_message encode(
+        const message_header& header, const booking_execute_message& message);
     encoded_message
     encode(const message_header& header, const booking_reply_message& message);
     encoded_message
--- a/modules/turmericlane_wire/tests/message_tests.cpp
+++ b/modules/turmericlane_wire/tests/message_tests.cpp
@@ -170,8 +170,7 @@
         round_trip<bundle_request_message>(bundle_request_message{40});
     REQUIRE(request);
     CHECK(request->body.have_version == 40);
-    auto delta =
-        round_trip<bundle_delta_message>(bundle_delta_message{"[]"});
+    auto delta = round_trip<bundle_delta_message>(bundle_delta_message{"[]"});
     REQUIRE(delta);
     CHECK(delta->body.text == "[]");
     auto full = round_trip<bundle_full_message>(bundle_full_message{"{}"});
@@ -192,5 +191,6 @@
     message_encoder encoder;
     bundle_full_message sent{std::string(frame_payload_limit_bytes, 'x')};
     CHECK(encoder.encode(samples::header, sent).payload.empty());
-    CHECK_FALSE(encoder.encode(samples::header, bundle_full_message{}).payload.empty());
+    CHECK_FALSE(
+        encoder.encode(samples::header, bundle_full_message{}).payload.empty());
 }
