Add the operators' client

Cause: operators need to check, sign and compare bundles, see which version is in force where, and send single searches and bookings.

A booking is sent once; if its outcome is unknown, the ticket is printed so that the same booking can be asked for again.

No run against turmericlaned.

Conclusion: complete against the interfaces of the design; the shapes of the answers to search, tickets and instances have to be compared with the daemon.

--- /dev/null
+++ b/apps/turmericlane/bundle_keygen_command.cpp
@@ -0,0 +1,42 @@
+#include "bundle_keygen_command.h"
+
+#include "bundle_output.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericlane
+{
+
+std::string_view bundle_keygen_command::name() const noexcept
+{
+    return "bundle keygen";
+}
+
+std::string_view bundle_keygen_command::usage() const noexcept
+{
+    return "FILE";
+}
+
+std::string_view bundle_keygen_command::summary() const noexcept
+{
+    return "Writes a new secret key to FILE and its public key to FILE.pub.";
+}
+
+int bundle_keygen_command::run(std::span<const char* const> arguments)
+{
+    auto declared = make_settings();
+    auto& json = add_json(declared);
+    std::vector<std::string> files;
+    if (auto code = read_usage(declared, arguments, 1, files))
+        return *code;
+    auto key = secret_key::generate();
+    if (auto problem = write_key_files(files[0], key))
+        return fail(*problem);
+    auto half = key.to_public();
+    print_summary(
+        {{"public_key", to_hex(half)}, {"key_id", to_hex(id_of(half))}},
+        json.value());
+    return exit_ok;
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/apps/turmericlane/counters_command.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "command.h"
+
+namespace turmericlane
+{
+
+/** `counters`: the metrics of every instance, one column for each. */
+class counters_command final : public command
+{
+public:
+    std::string_view name() const noexcept override;
+    std::string_view usage() const noexcept override;
+    std::string_view summary() const noexcept override;
+    int run(std::span<const char* const> arguments) override;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/apps/turmericlane/request_settings.cpp
@@ -0,0 +1,50 @@
+#include "request_settings.h"
+
+#include "table.h"
+
+#include <iostream>
+
+namespace turmericlane
+{
+
+using namespace std::chrono_literals;
+
+request_settings::request_settings(settings& to, std::vector<std::string> ranks)
+    : fleet(to)
+    , rank(to.add<choice_setting>(
+          {"rank", "Rank of the request."}, std::move(ranks)))
+    , deadline(to.add<millisecond_setting>(
+          {"deadline", "Deadline; 0 for the rank's default."},
+          0ms,
+          0ms,
+          600'000ms))
+{
+}
+
+std::chrono::milliseconds request_settings::reply_timeout() const
+{
+    return fleet.timeout.span() + deadline.span();
+}
+
+void request_settings::add_to(nlohmann::json& body) const
+{
+    body["rank"] = rank.value();
+    if (deadline.value() > 0)
+        body["deadline_ms"] = deadline.value();
+}
+
+void print_answer(nlohmann::json body, bool as_json)
+{
+    if (as_json || !body.is_object())
+    {
+        std::cout << body.dump() << '\n';
+        return;
+    }
+    if (body.contains("hits"))
+        make_table(body["hits"]).write(std::cout);
+    body.erase("hits");
+    for (const auto& it : body.items())
+        std::cout << it.key() << ": " << cell_text(it.value()) << '\n';
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/apps/turmericlane/status_command.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "command.h"
+
+namespace turmericlane
+{
+
+/** `status`: the version in force, its age and source on every instance. */
+class status_command final : public command
+{
+public:
+    std::string_view name() const noexcept override;
+    std::string_view usage() const noexcept override;
+    std::string_view summary() const noexcept override;
+    int run(std::span<const char* const> arguments) override;
+};
+
+} // namespace turmericlane
