--- a/apps/turmericlane/fleet.cpp
+++ b/apps/turmericlane/fleet.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t max_parallel = 16;
 
 fleet_reply
-ask(const endpoint& target,
+ask(const ip_endpoint& target,
     std::chrono::milliseconds timeout,
     const std::string& path,
     const std::optional<nlohmann::json>& body)
@@ -73,7 +73,7 @@
 }
 
 fleet_reply ask_first(
-    const std::vector<endpoint>& fleet,
+    const std::vector<ip_endpoint>& fleet,
     std::chrono::milliseconds timeout,
     const std::string& path,
     const std::optional<nlohmann::json>& body)
--- a/apps/turmericlane/fleet.h
+++ b/apps/turmericlane/fleet.h
@@ -41,7 +41,7 @@
     @param path     path of the request
     @param body     body of a POST request; nothing for GET */
 fleet_reply ask_first(
-    const std::vector<endpoint>& fleet,
+    const std::vector<ip_endpoint>& fleet,
     std::chrono::milliseconds timeout,
     const std::string& path,
     const std::optional<nlohmann::json>& body);
--- a/apps/turmericlane/instance_client.cpp
+++ b/apps/turmericlane/instance_client.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-httplib::Client connect(const endpoint& to, std::chrono::milliseconds timeout)
+httplib::Client
+connect(const ip_endpoint& to, std::chrono::milliseconds timeout)
 {
     httplib::Client made(to.address, to.port);
     made.set_tcp_nodelay(true);
@@ -37,7 +38,7 @@
 } // namespace
 
 instance_client::instance_client(
-    endpoint target, std::chrono::milliseconds timeout)
+    ip_endpoint target, std::chrono::milliseconds timeout)
     : target_(std::move(target))
     , timeout_(timeout)
 {
--- a/apps/turmericlane/instance_client.h
+++ b/apps/turmericlane/instance_client.h
@@ -35,7 +35,7 @@
 public:
     /** @param target   address and port of the instance's HTTP interface
         @param timeout  bound on connecting, and on the wait for the reply */
-    instance_client(endpoint target, std::chrono::milliseconds timeout);
+    instance_client(ip_endpoint target, std::chrono::milliseconds timeout);
 
     /** Sends a GET request. */
     result<call_reply, call_error> get(const std::string& path) const;
@@ -48,7 +48,7 @@
     std::string name() const;
 
 private:
-    endpoint target_;
+    ip_endpoint target_;
     std::chrono::milliseconds timeout_;
 };
 
