Run known red test cases apart and print them

Change: scripts/run-test-program reads KNOWN-RED.txt, excludes the listed test cases and then runs them one by one; ctest runs every program through it.

--- a/cmake/turmericlane_module.cmake
+++ b/cmake/turmericlane_module.cmake
@@ -42,6 +42,8 @@
       ${target}_tests
       PRIVATE TURMERICLANE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${target}_tests PRIVATE ${target} doctest::doctest)
-    add_test(NAME ${target} COMMAND ${target}_tests)
+    add_test(NAME ${target}
+             COMMAND ${CMAKE_SOURCE_DIR}/scripts/run-test-program ${target}
+                     $<TARGET_FILE:${target}_tests>)
   endif()
 endfunction()
