Try costly replicas again, and serve queues when the bundle changes

Cause: a replica that failed three times and then cost more than the others got no further request, so it was neither ejected nor probed, and stayed unused after it was back; found by the new test of a lost replica. Parts waited until their deadline when a bundle took the last server of their group out of use. Change: a replica that got no request for 1 s gets the next one, from urgent work only after 3 s. Queues are served after a new bundle and after a pause. A server that is back in the bundle starts slowly. The hedge test now has room in the windows, so that it fails without the check of the free slots. Conclusion: every replica is measured again within seconds.

--- a/modules/turmericlane_decisions/owner/backend_server.cpp
+++ b/modules/turmericlane_decisions/owner/backend_server.cpp
@@ -41,8 +41,9 @@
     window_ = window;
 }
 
-void backend_server::on_start()
+void backend_server::on_start(time_point now)
 {
+    last_started_ = now;
     ++in_flight_;
     ++sent_since_report_;
 }
@@ -107,8 +108,10 @@
         start_slowly(now);
 }
 
-void backend_server::on_bundle(time_point leaves_at)
+void backend_server::on_bundle(time_point leaves_at, time_point now)
 {
+    if (now >= bundle_leaves_at_ && leaves_at == time_point::max())
+        start_slowly(now);
     bundle_leaves_at_ = leaves_at;
 }
 
--- a/modules/turmericlane_decisions/owner/backend_server.h
+++ b/modules/turmericlane_decisions/owner/backend_server.h
@@ -27,7 +27,7 @@
     }
 
     /** A request is sent. */
-    void on_start();
+    void on_start(time_point now);
 
     /** A request ended, in whatever way; its connection is free. */
     void on_end();
@@ -55,8 +55,8 @@
     void on_listed(bool leaving, time_point now);
 
     /** The bundle says from when on the server gets no new work;
-        time_point::max() if it stays. */
-    void on_bundle(time_point leaves_at);
+        time_point::max() if it stays. A server that is back starts slowly. */
+    void on_bundle(time_point leaves_at, time_point now);
 
     /** The load endpoint answered. */
     void on_load_report(const load_report& report, time_point now);
@@ -103,6 +103,12 @@
     /** A probe ended without saying anything about the server. */
     void on_probe_cancelled(time_point now);
 
+    /** When the last request was sent. */
+    time_point last_started() const noexcept
+    {
+        return last_started_;
+    }
+
     /** True if one more request may be sent. */
     bool has_room(time_point now) const;
 
@@ -160,6 +166,7 @@
     std::uint32_t failures_ = 0;
     std::uint32_t samples_ = 0;
     duration latency_{};
+    time_point last_started_{};
     time_point failing_since_{};
     time_point slow_since_ = time_point::max();
     double reported_load_ = 0.0;
--- a/modules/turmericlane_decisions/owner/dispatch_engine.cpp
+++ b/modules/turmericlane_decisions/owner/dispatch_engine.cpp
@@ -23,6 +23,7 @@
 void dispatch_engine::on_bundle(std::shared_ptr<const bundle> in_force)
 {
     fleet_.on_bundle(std::move(in_force), time_.now());
+    pump_all();
 }
 
 void dispatch_engine::on_batch(ordinal entry, const search_batch& batch)
@@ -249,7 +250,7 @@
     attempt.probe = on.probe;
     if (on.probe)
         on.server->on_probe_start();
-    on.server->on_start();
+    on.server->on_start(now);
     ++group.in_flight[index_of(work)];
     group.queue.charge(work, attempt.charged, now);
     if (part.sent == 0)
@@ -557,6 +558,15 @@
 void dispatch_engine::on_pause_detected()
 {
     fleet_.forget_views();
+    pump_all();
+}
+
+/** Servers may have come into use, or the last one may have left. */
+void dispatch_engine::pump_all()
+{
+    for (auto* it : fleet_.groups())
+        pump(*it);
+    drop_stale_timers();
 }
 
 std::uint32_t dispatch_engine::in_flight(searcher_id server)
--- a/modules/turmericlane_decisions/owner/dispatch_engine.h
+++ b/modules/turmericlane_decisions/owner/dispatch_engine.h
@@ -94,6 +94,7 @@
 
     // Slots.
     void pump(group_state& group);
+    void pump_all();
     void drop_withdrawn(group_state& group);
     bool pump_extra(group_state& group, std::optional<rank> next);
     bool pump_first(group_state& group, rank work);
--- a/modules/turmericlane_decisions/owner/fleet_state.cpp
+++ b/modules/turmericlane_decisions/owner/fleet_state.cpp
@@ -76,6 +76,15 @@
     return found->second.groups;
 }
 
+std::vector<group_state*> fleet_state::groups()
+{
+    std::vector<group_state*> all;
+    all.reserve(groups_.size());
+    for (auto& it : groups_)
+        all.push_back(it.second.get());
+    return all;
+}
+
 void fleet_state::forget_views()
 {
     for (auto& it : servers_)
@@ -102,7 +111,7 @@
     {
         auto& server = server_for(it, of, known, now);
         server.set_limits(service->slots, window);
-        server.on_bundle(it.leaving ? now : time_point::max());
+        server.on_bundle(it.leaving ? now : time_point::max(), now);
         if (!server.leaving(now))
             of.slots += service->slots;
         servers.push_back(&server);
@@ -156,7 +165,7 @@
         else
         {
             if (!server.leaving(now + removed_server_grace))
-                server.on_bundle(now + removed_server_grace);
+                server.on_bundle(now + removed_server_grace, now);
             ++it;
         }
     }
--- a/modules/turmericlane_decisions/owner/fleet_state.h
+++ b/modules/turmericlane_decisions/owner/fleet_state.h
@@ -39,6 +39,9 @@
     /** Groups that a server belongs to. */
     std::span<group_state* const> groups_of(searcher_id id) const;
 
+    /** Every group that a part has arrived for. */
+    std::vector<group_state*> groups();
+
     /** Drops what a pause has made out of date. */
     void forget_views();
 
--- a/modules/turmericlane_decisions/owner/replica_set.cpp
+++ b/modules/turmericlane_decisions/owner/replica_set.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t ejected_share = 3;
 // Costs within this factor are about equal, and the reported load decides.
 constexpr double about_equal = 1.25;
+constexpr duration longest_idle = 1s;
 // Urgent requests are used as probes only if no other request came by.
 constexpr duration urgent_probe_wait = 2s;
 
@@ -180,17 +181,24 @@
     auto wait = wanted.work == rank::urgent ? urgent_probe_wait : 0ms;
     for (auto* it : servers_)
     {
-        if (!it->ejected() || it->probe_due() == time_point::max() ||
-            now - wait < it->probe_due())
+        auto due = probe_due(*it);
+        if (due == time_point::max() || now - wait < due)
             continue;
         if (it->leaving(now) || was_tried(wanted, it->id()) ||
             !it->has_room(now) || !it->may_serve(wanted.snapshot))
             continue;
-        return {outcome::chosen, it, true};
+        return {outcome::chosen, it, it->ejected()};
     }
     return {};
 }
 
+/** When a server is to get a request whatever its cost. Measurements of a
+    server that gets no requests would never change. */
+time_point replica_set::probe_due(const backend_server& of)
+{
+    return of.ejected() ? of.probe_due() : of.last_started() + longest_idle;
+}
+
 backend_server&
 replica_set::better_of_two(time_point now, std::mt19937_64& random)
 {
--- a/modules/turmericlane_decisions/owner/replica_set.h
+++ b/modules/turmericlane_decisions/owner/replica_set.h
@@ -15,7 +15,8 @@
     Own measurements count first (requests in flight, smoothed latency), the
     reported load decides between servers that are about equal. Of two random
     candidates the better one is taken. At most a third of the group is ejected
-    at a time; an ejected server gets single requests as probes.
+    at a time; an ejected server gets single requests as probes, and so does one
+    whose cost has kept all requests away for a time.
 
     @see backend_server, dispatch_engine
 */
@@ -88,6 +89,7 @@
     bool may_eject(time_point now) const;
     duration best_latency(const backend_server& except, time_point now) const;
     choice choose_probe(const needs& wanted, time_point now);
+    static time_point probe_due(const backend_server& of);
     backend_server& better_of_two(time_point now, std::mt19937_64& random);
 
     std::vector<backend_server*> servers_;
--- a/modules/turmericlane_decisions/tests/fault_tests.cpp
+++ b/modules/turmericlane_decisions/tests/fault_tests.cpp
@@ -123,3 +123,38 @@
     // Without answers the checks above would show nothing.
     CHECK(complete > total / 5);
 }
+
+TEST_CASE("a lost replica costs no coverage and little load")
+{
+    // Guards against an owner that goes on using a server that is gone, and
+    // against a server that is not used again when it is back.
+    virtual_fleet fleet(5, 4, make_bundle(groups, {3}), {});
+    auto search_for = [&fleet](duration span)
+    {
+        auto first = fleet.records.size();
+        for (auto end = fleet.time.now() + span; fleet.time.now() < end;)
+        {
+            auto entry = static_cast<ordinal>(fleet.random() % 4);
+            auto work = all_ranks[fleet.random() % rank_count];
+            fleet.search(entry, work, 140ms, 1);
+            fleet.run_until(fleet.time.now() + 5ms);
+        }
+        fleet.run_until(fleet.time.now() + 200ms);
+        std::size_t incomplete = 0;
+        for (auto n = first; n < fleet.records.size(); ++n)
+            if (fleet.records[n].answer.overall_coverage() < 1.0)
+                ++incomplete;
+        return incomplete;
+    };
+    CHECK(search_for(2s) == 0);
+    fleet.dead.insert(1);
+    CHECK(search_for(1s) == 0);
+    auto before = fleet.received[1];
+    CHECK(search_for(10s) == 0);
+    CHECK(fleet.received[1] - before < 20);
+    fleet.dead.clear();
+    CHECK(search_for(20s) == 0);
+    before = fleet.received[1];
+    CHECK(search_for(3s) == 0);
+    CHECK(fleet.received[1] - before > 100);
+}
--- a/modules/turmericlane_decisions/tests/group_dispatcher_tests.cpp
+++ b/modules/turmericlane_decisions/tests/group_dispatcher_tests.cpp
@@ -259,9 +259,10 @@
 {
     // Guards against hedges that add to an overload.
     warm_up();
-    for (int n = 0; n < 12; ++n)
+    for (int n = 0; n < 9; ++n)
         ask();
     run_for(20ms);
+    CHECK(actions.attempts.size() == 9);
     CHECK(actions.hedges == 0);
 }
 
@@ -308,6 +309,28 @@
     CHECK(last_state() == verdict::refused(reason::no_replica));
 }
 
+TEST_CASE_FIXTURE(owner_fixture, "work does not wait for servers that left")
+{
+    // Guards against parts that wait until their deadline for nothing, and
+    // against a server that gets full load as soon as it is back.
+    for (int n = 0; n < 8; ++n)
+        ask(1, rank::ordinary, 10s);
+    REQUIRE(actions.attempts.size() == 4);
+    auto changed = std::make_shared<bundle>(*content);
+    changed->version = 2;
+    changed->services[1].groups[0].searchers[0].leaving = true;
+    tested.on_bundle(changed);
+    CHECK(actions.replies.size() == 4);
+    CHECK(last_state() == verdict::refused(reason::no_replica));
+    for (std::size_t n = 0; n < 4; ++n)
+        end(actions.attempts[n].first);
+    CHECK(actions.replies.size() == 8);
+    tested.on_bundle(content);
+    for (int n = 0; n < 4; ++n)
+        ask(1, rank::ordinary, 10s);
+    CHECK(tested.in_flight(4) == 1);
+}
+
 TEST_CASE_FIXTURE(
     owner_fixture, "a searcher that left the bundle gets no new work")
 {
--- a/modules/turmericlane_decisions/tests/owner_policy_tests.cpp
+++ b/modules/turmericlane_decisions/tests/owner_policy_tests.cpp
@@ -199,10 +199,15 @@
     while (servers[2]->ejected() && probes < 10)
     {
         now += 1100ms;
+        for (std::size_t n = 0; n < 2; ++n)
+        {
+            servers[n]->on_start(now);
+            servers[n]->on_end();
+        }
         auto it = tested.choose({rank::archive, 0, {}}, now, random);
         REQUIRE(it.probe);
         servers[2]->on_probe_start();
-        it.server->on_start();
+        it.server->on_start(now);
         CHECK_FALSE(tested.choose({rank::archive, 0, {}}, now, random).probe);
         it.server->on_end();
         tested.on_probe(*servers[2], true, 4ms, now);
@@ -210,7 +215,7 @@
     }
     CHECK(probes == 3);
     CHECK(servers[2]->has_room(now));
-    servers[2]->on_start();
+    servers[2]->on_start(now);
     CHECK_FALSE(servers[2]->has_room(now));
     CHECK(servers[2]->has_room(now + 3s));
 }
@@ -248,7 +253,7 @@
     for (int n = 0; n < 300; ++n)
     {
         auto it = tested.choose({rank::urgent, 0, {}}, now, random);
-        it.server->on_start();
+        it.server->on_start(now);
         it.server->on_end();
         ++counts[it.server->id() - 1];
     }
@@ -286,3 +291,24 @@
     servers[0]->on_listed(false, now + 11s);
     CHECK_FALSE(servers[0]->leaving(now + 11s));
 }
+
+TEST_CASE_FIXTURE(replica_fixture, "a costly replica is tried again")
+{
+    // Guards against a server that failed or was slow once, is not ejected,
+    // and never gets the request that would show that it is well.
+    measure(0, 4ms, 20);
+    measure(1, 4ms, 20);
+    measure(2, 8ms, 20);
+    tested.on_failure(*servers[2], now);
+    std::array<int, 3> counts{};
+    for (int n = 0; n < 1000; ++n, now += 10ms)
+    {
+        auto it = tested.choose({rank::ordinary, 0, {}}, now, random);
+        CHECK_FALSE(it.probe);
+        it.server->on_start(now);
+        it.server->on_end();
+        ++counts[it.server->id() - 1];
+    }
+    CHECK(counts[2] >= 9);
+    CHECK(counts[2] <= 11);
+}
