--- a/bench/fakes/fake_network.cpp
+++ b/bench/fakes/fake_network.cpp
@@ -1,5 +1,7 @@
 #include "fake_network.h"
 
+#include <algorithm>
+
 namespace turmericlane::bench
 {
 namespace
@@ -26,6 +28,18 @@
     return !split_ || from / 2 == to / 2;
 }
 
+std::uint64_t
+fake_network::generation(std::uint32_t one, std::uint32_t other) const
+{
+    auto found = generations_.find(std::minmax(one, other));
+    return found == generations_.end() ? 0 : found->second;
+}
+
+void fake_network::break_connection(std::uint32_t one, std::uint32_t other)
+{
+    ++generations_[std::minmax(one, other)];
+}
+
 void fake_network::set_split(bool split) noexcept
 {
     split_ = split;
--- a/bench/model/scenario.h
+++ b/bench/model/scenario.h
@@ -45,6 +45,8 @@
     /** The data centres are split into two halves for split_length. */
     std::optional<duration> split;
     duration split_length = std::chrono::seconds(30);
+    /** Time until peers notice that an instance is silent. */
+    duration detection_time = std::chrono::seconds(1);
     /** New versions are made but reach no instance. */
     bool configuration_down = false;
 };
--- a/bench/variants/turmericlane_node.h
+++ b/bench/variants/turmericlane_node.h
@@ -38,6 +38,14 @@
     void reply(ordinal entry, const shard_reply& reply) override;
     bool usable(ordinal owner) const override;
 
+    void close_connection(ordinal peer);
+    /** Takes note of a connection that broke since the last message. */
+    void see_connection(ordinal peer);
+    void on_connection_lost(ordinal peer);
+    void take(
+        turmericlane_node& from,
+        std::uint64_t generation,
+        const std::function<void(turmericlane_node&)>& what);
     void receive_batch(ordinal entry, search_batch batch, duration hop);
     void receive_reply(const shard_reply& reply);
     void send_to(ordinal peer, std::function<void(turmericlane_node&)> what);
@@ -45,6 +53,8 @@
 
     peer_lookup peers_;
     std::vector<bool> usable_;
+    /** Generation of the connection to each peer that this side knows. */
+    std::vector<std::uint64_t> generations_;
     std::unordered_map<query_id, std::uint64_t> queries_;
     std::unordered_map<attempt_id, std::uint64_t> attempts_;
     time_point entry_timer_ = time_point::max();
