--- a/bench/load/load_report.cpp
+++ b/bench/load/load_report.cpp
@@ -44,6 +44,7 @@
     of.not_connected += ended.not_connected;
     of.lost += ended.lost;
     of.violations += ended.violations.size();
+    of.groups_needed += ended.groups_needed;
     add_unlocked(ended.violations);
     if (ended.latency > ended.deadline + late_margin)
         ++of.late;
@@ -57,7 +58,6 @@
     of.complete += ended.coverage >= 1.0 ? 1 : 0;
     ++snapshots_[ended.snapshot];
     of.coverage_sum += ended.coverage;
-    of.groups_needed += ended.groups_needed;
     of.sub_requests_sent += ended.sub_requests_sent;
     of.latencies_ms.push_back(ended.latency.count());
 }
@@ -84,6 +84,12 @@
     ++late_starts_;
 }
 
+void load_report::add_not_sent()
+{
+    std::lock_guard lock(mutex_);
+    ++not_sent_;
+}
+
 void load_report::set_executed_bookings(std::uint64_t executed)
 {
     std::lock_guard lock(mutex_);
@@ -140,6 +146,7 @@
         violations_.begin(), violations_.end(), std::uint64_t{0});
     made["examples"] = examples_;
     made["late_starts"] = late_starts_;
+    made["not_sent"] = not_sent_;
     made["lost"] = lost;
     for (const auto& [snapshot, count] : snapshots_)
         made["snapshots"][std::to_string(snapshot)] = count;
@@ -197,7 +204,7 @@
         text += "  reply " + reply + ": " + count.dump() + '\n';
     text += "violations: " + report["violations_total"].dump() +
             ", late starts of the load tool: " + report["late_starts"].dump() +
-            '\n';
+            ", not sent by it: " + report["not_sent"].dump() + '\n';
     for (const auto& it : report["examples"])
         text += "  violation " + it.get<std::string>() + '\n';
     return text;
--- a/bench/load/load_report.h
+++ b/bench/load/load_report.h
@@ -62,6 +62,9 @@
     /** Counts a request that began late because all threads were busy. */
     void add_late_start();
 
+    /** Counts a request that was left out because all threads were busy. */
+    void add_not_sent();
+
     /** States how many bookings the journal has. */
     void set_executed_bookings(std::uint64_t executed);
 
@@ -103,6 +106,7 @@
     std::array<std::uint64_t, violation_count> violations_{};
     std::vector<std::string> examples_;
     std::uint64_t late_starts_ = 0;
+    std::uint64_t not_sent_ = 0;
     /** Answers by snapshot. */
     std::map<std::uint64_t, std::uint64_t> snapshots_;
     std::uint64_t bookings_ = 0;
--- a/tests/standins/http_session.cpp
+++ b/tests/standins/http_session.cpp
@@ -87,6 +87,8 @@
 {
     if (closed_)
         return;
+    assert(pending_);
+    pending_ = false;
     ++step_;
     response_ = {};
     response_.version(11);
@@ -151,6 +153,7 @@
             });
         return;
     }
+    pending_ = true;
     watch_peer();
     handle_(shared_from_this());
 }
