Count needed sub-requests at the stand-ins; start the demo settled

Cause: the extra backend load came out negative, because searches that were refused for want of an owner counted as needed.

Change: the stand-ins count the first sub-request of each query to each group as needed. The demo waits until the instances see each other, 10 s at most.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -171,7 +171,15 @@
     jq -e '.serving == true' >/dev/null
 }
 
-# Starts all instances and waits until they serve.
+# True if the instance sees all others as live.
+sees_all() {
+  curl -s --max-time 1 "http://$host:$((http_base + $1))/v1/status" |
+    jq -e "[.members[]? | select(.state == \"live\")] | length >= $instances - 1" \
+      >/dev/null
+}
+
+# Starts all instances and waits until they serve and, if they do within 10 s,
+# see each other, so that the figures are not those of a fleet that starts.
 start_instances() {
   local n
   for ((n = 0; n < instances; ++n)); do start_instance "$n"; done
@@ -179,6 +187,9 @@
   for ((n = 0; n < instances; ++n)); do
     wait_for 20 "instance $n serves" accepts "$n"
   done
+  for ((n = 0; n < instances; ++n)); do
+    wait_for 10 "instance $n sees all others" sees_all "$n" || break
+  done
 }
 
 # Waits until a version is in force at all given instances. Leaves the time in
--- a/tests/standins/backend_counters.cpp
+++ b/tests/standins/backend_counters.cpp
@@ -8,6 +8,7 @@
 void backend_counters::add(const backend_counters& other)
 {
     received += other.received;
+    needed += other.needed;
     for (std::size_t n = 0; n < rank_count; ++n)
         received_by_rank[n] += other.received_by_rank[n];
     executed += other.executed;
@@ -33,6 +34,7 @@
         by_rank[std::string(to_string(it))] = received_by_rank[index_of(it)];
     return {
         {"received", received},
+        {"needed", needed},
         {"received_by_rank", by_rank},
         {"executed", executed},
         {"bookings_received", bookings_received},
--- a/tests/standins/backend_counters.h
+++ b/tests/standins/backend_counters.h
@@ -18,6 +18,9 @@
 {
     /** Searches received, answered or not. */
     std::uint64_t received = 0;
+    /** The part of it that was the first of its query and group: what would
+        have been received without retries and hedges. */
+    std::uint64_t needed = 0;
     std::array<std::uint64_t, rank_count> received_by_rank{};
     std::uint64_t executed = 0;
     std::uint64_t bookings_received = 0;
--- a/tests/standins/backend_records.cpp
+++ b/tests/standins/backend_records.cpp
@@ -1,5 +1,7 @@
 #include "backend_records.h"
 
+#include "hits.h"
+
 #include <cassert>
 
 namespace turmericlane::standins
@@ -36,6 +38,14 @@
     bookings_.push_back(std::move(booking));
 }
 
+bool backend_records::add_received(
+    std::string_view query, std::string_view service, std::uint32_t partition)
+{
+    std::string key(service);
+    key.append("/").append(std::to_string(partition)).append("/").append(query);
+    return received_.insert(hash_query(key)).second;
+}
+
 void backend_records::add_query(const std::string& query)
 {
     queries_.insert(query);
--- a/tests/standins/backend_records.h
+++ b/tests/standins/backend_records.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 #include <vector>
 
@@ -48,6 +49,13 @@
     /** Records that a booking began to run. */
     void add_booking(executed_booking booking);
 
+    /** Records that a search was received.
+        @returns true if it is the first of this query for this group */
+    bool add_received(
+        std::string_view query,
+        std::string_view service,
+        std::uint32_t partition);
+
     /** Records that a search began to run. */
     void add_query(const std::string& query);
 
@@ -63,6 +71,8 @@
     double mean_ns_;
     std::vector<executed_booking> bookings_;
     std::unordered_set<std::string> queries_;
+    /** Hashes of query, service and partition. */
+    std::unordered_set<std::uint64_t> received_;
 };
 
 } // namespace turmericlane::standins
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -185,7 +185,14 @@
 
 void backend_server::handle_search(const std::shared_ptr<http_session>& session)
 {
+    auto body = json::parse(session->body(), nullptr, false);
+    if (!body.is_object() || !body.contains("query") ||
+        !body["query"].is_string())
+        return reply_error(*session, 400, "bad_json");
+    auto query = body["query"].get<std::string>();
     ++counters_.received;
+    if (records_.add_received(query, identity_.service, identity_.partition))
+        ++counters_.needed;
     auto stated = parse_rank(session->header("X-Rank"));
     ++counters_.received_by_rank[index_of(stated.value_or(rank::ordinary))];
     count_after_mark();
@@ -200,11 +207,7 @@
         ++counters_.snapshot_gone;
         return reply_error(*session, 409, "snapshot_gone");
     }
-    auto body = json::parse(session->body(), nullptr, false);
-    if (!body.is_object() || !body.contains("query") ||
-        !body["query"].is_string())
-        return reply_error(*session, 400, "bad_json");
-    made->query = body["query"].get<std::string>();
+    made->query = std::move(query);
     if (body.contains("limit") && body["limit"].is_number_unsigned())
         made->limit = body["limit"].get<std::uint32_t>();
     enqueue(made);
