--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -185,7 +185,14 @@
 
 void backend_server::handle_search(const std::shared_ptr<http_session>& session)
 {
+    auto body = json::parse(session->body(), nullptr, false);
+    if (!body.is_object() || !body.contains("query") ||
+        !body["query"].is_string())
+        return reply_error(*session, 400, "bad_json");
+    auto query = body["query"].get<std::string>();
     ++counters_.received;
+    if (records_.add_received(query, identity_.service, identity_.partition))
+        ++counters_.needed;
     auto stated = parse_rank(session->header("X-Rank"));
     ++counters_.received_by_rank[index_of(stated.value_or(rank::ordinary))];
     count_after_mark();
@@ -200,11 +207,7 @@
         ++counters_.snapshot_gone;
         return reply_error(*session, 409, "snapshot_gone");
     }
-    auto body = json::parse(session->body(), nullptr, false);
-    if (!body.is_object() || !body.contains("query") ||
-        !body["query"].is_string())
-        return reply_error(*session, 400, "bad_json");
-    made->query = body["query"].get<std::string>();
+    made->query = std::move(query);
     if (body.contains("limit") && body["limit"].is_number_unsigned())
         made->limit = body["limit"].get<std::uint32_t>();
     enqueue(made);
@@ -238,10 +241,11 @@
     for (const auto& it : queue_)
         if (it->request_id == id)
             found.push_back(it);
-    counters_.cancelled += found.size();
+    std::uint64_t count = 0;
     for (const auto& it : found)
-        give_up(it, 499, "cancelled");
-    session->reply(200, json{{"cancelled", found.size()}}.dump());
+        count += give_up(it, 499, "cancelled") ? 1 : 0;
+    counters_.cancelled += count;
+    session->reply(200, json{{"cancelled", count}}.dump());
 }
 
 void backend_server::enqueue(const work_pointer& added)
@@ -257,8 +261,8 @@
         {
             if (ec || added->running)
                 return;
-            ++counters_.deadline_passed;
-            give_up(added, 504, "deadline");
+            if (give_up(added, 504, "deadline"))
+                ++counters_.deadline_passed;
         });
 }
 
@@ -340,14 +344,17 @@
     start_next();
 }
 
-void backend_server::give_up(
+bool backend_server::give_up(
     const work_pointer& ended, unsigned status, const char* why)
 {
-    std::erase(running_, ended);
-    std::erase(queue_, ended);
+    // A timer that expired before it was cancelled still calls its handler,
+    // so the work may have ended already.
+    if (std::erase(running_, ended) + std::erase(queue_, ended) == 0)
+        return false;
     ended->timer.cancel();
     reply_error(*ended->session, status, why);
     start_next();
+    return true;
 }
 
 void backend_server::answer(const work& done)
