Refuse batches whose parts are misaligned

A damaged search_batch that passed it was read through misaligned pointers; the fuzz test found it under the undefined-behaviour sanitizer.

Change: the decoder checks the alignment of the parts.

--- a/modules/turmericlane_wire/messages/message_decoder.cpp
+++ b/modules/turmericlane_wire/messages/message_decoder.cpp
@@ -147,6 +147,10 @@
     if (!assign(to.work, from->rank()) ||
         !assign(to.time_left, from->time_left_ns()))
         return std::nullopt;
+    // The verifier checks the alignment of a vector's length only.
+    auto address = reinterpret_cast<std::uintptr_t>(from->parts()->Data());
+    if (address % alignof(schema::batch_part) != 0)
+        return std::nullopt;
     to.parts.reserve(from->parts()->size());
     for (const auto* it : *from->parts())
         to.parts.push_back({convert(it->group()), it->epoch()});
