--- a/modules/turmericlane_state/membership/member_store.cpp
+++ b/modules/turmericlane_state/membership/member_store.cpp
@@ -70,6 +70,12 @@
         it->second.heard = now;
 }
 
+bool member_store::heard_since(std::uint64_t nonce, time_point when) const
+{
+    const auto* it = find(nonce);
+    return it != nullptr && it->heard && *it->heard > when;
+}
+
 void member_store::set_state(
     std::uint64_t nonce, member_state state, time_point now)
 {
@@ -185,6 +191,7 @@
 void member_store::leave_indexes(const member& value)
 {
     --counts_[index_of(value.state)];
+    unreachable_.erase(value.nonce);
     add_to_digest(value);
     if (value.state == member_state::gone)
         return;
@@ -199,6 +206,8 @@
 void member_store::enter_indexes(const member& value)
 {
     ++counts_[index_of(value.state)];
+    if (value.state >= member_state::suspect)
+        unreachable_.insert(value.nonce);
     add_to_digest(value);
     if (value.state == member_state::gone)
         return;
--- a/modules/turmericlane_state/membership/member_store.h
+++ b/modules/turmericlane_state/membership/member_store.h
@@ -56,6 +56,10 @@
     /** Notes that a process was heard directly. */
     void heard(std::uint64_t nonce, time_point now);
 
+    /** True if a process was heard directly after a point in time. It lives,
+        also if its answer to a heartbeat was lost. */
+    bool heard_since(std::uint64_t nonce, time_point when) const;
+
     /** Changes the state of a process; its incarnation stays. */
     void set_state(std::uint64_t nonce, member_state state, time_point now);
 
@@ -85,6 +89,12 @@
         return entries_;
     }
 
+    /** Processes that are suspect or gone. */
+    const std::set<std::uint64_t>& unreachable() const noexcept
+    {
+        return unreachable_;
+    }
+
     /** The process in charge of an ordinal, or null. */
     const member* in_charge(ordinal index) const;
 
@@ -112,6 +122,7 @@
     std::map<std::uint64_t, entry> entries_;
     std::unordered_map<ordinal, std::vector<std::uint64_t>> by_ordinal_;
     std::map<endpoint, std::vector<std::uint64_t>> by_endpoint_;
+    std::set<std::uint64_t> unreachable_;
     /** Processes with reports, so that old reports are found quickly. */
     std::set<std::uint64_t> reported_;
     std::size_t counts_[4] = {};
--- a/modules/turmericlane_state/membership/membership_table.cpp
+++ b/modules/turmericlane_state/membership/membership_table.cpp
@@ -189,8 +189,7 @@
         if (statement.nonce == store_.self().nonce)
             return refute(statement.incarnation, statement.state);
         const auto* known = store_.find(statement.nonce);
-        bool was_gone =
-            known != nullptr && known->value.state == member_state::gone;
+        bool was_gone = known && known->value.state == member_state::gone;
         if (!store_.merge(statement, now))
             return;
         bool is_gone = statement.state == member_state::gone;
@@ -281,7 +280,9 @@
                 return;
             auto late = it->second;
             pending_.erase(it);
-            if (late.subject != 0)
+            if (late.subject != 0 &&
+                !store_.heard_since(
+                    late.subject, late.deadline - limits_.timeout))
                 add_report(
                     {store_.self().nonce, late.subject, late.incarnation}, now);
         }
@@ -291,8 +292,9 @@
     {
         std::vector<std::uint64_t> given_up;
         std::vector<std::uint64_t> forgotten;
-        for (const auto& [nonce, it] : store_.entries())
+        for (auto nonce : store_.unreachable())
         {
+            const auto& it = *store_.find(nonce);
             auto age = now - it.since;
             auto state = it.value.state;
             if (state == member_state::suspect && age >= limits_.suspect_time)
@@ -349,8 +351,9 @@
         if (gone == 0)
             return;
         auto n = random_() % gone;
-        for (const auto& [nonce, it] : store_.entries())
+        for (auto nonce : store_.unreachable())
         {
+            const auto& it = *store_.find(nonce);
             if (it.value.state != member_state::gone || n-- > 0)
                 continue;
             if (store_.at(it.value.where).empty())
