--- a/modules/turmericlane_state/tests/membership_tests.cpp
+++ b/modules/turmericlane_state/tests/membership_tests.cpp
@@ -382,7 +382,7 @@
     }
 }
 
-TEST_CASE("both sides of a partition heal while the list is not read")
+TEST_CASE("both sides of a partition heal without the list")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
     {
@@ -390,6 +390,9 @@
         fleet tested(small(seed));
         start_all(tested, 6);
         tested.run_for(seconds(10));
+        // Listed addresses would be contacted again in any case.
+        for (std::size_t n = 0; n < 6; ++n)
+            tested.table(n).on_list({});
         tested.connect_if([](std::size_t a, std::size_t b)
                           { return (a < 3) == (b < 3); });
         tested.run_for(seconds(120));
