Split classes of the bundle and settings modules into their own files

Cause: the conventions ask for one class in each pair of files.

Change: secret_key, trusted_keys, read_errors and endpoint move out of keys.h, object_reader.h and endpoint_list_setting.h. The module headers include all of them; no interface changes.

Conclusion: no change of behaviour.

--- a/modules/turmericlane_bundle/parse/object_reader.h
+++ b/modules/turmericlane_bundle/parse/object_reader.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "bundle_error.h"
+#include "read_errors.h"
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <initializer_list>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,24 +14,6 @@
 namespace turmericlane
 {
 
-/** Keeps the first error of a read, so that readers need no check after each
-    field. */
-class read_errors
-{
-public:
-    /** Records an error unless there is one already. */
-    void add(std::string path, std::string detail);
-
-    /** True once an error was recorded. */
-    bool failed() const noexcept;
-
-    /** The first error; its file is empty. There must be one. */
-    const bundle_error& first() const;
-
-private:
-    std::optional<bundle_error> first_;
-};
-
 /** Reads the fields of one JSON object and checks type and range of each.
 
     The constructor reports fields that are unknown or missing. After an error
--- a/modules/turmericlane_bundle/sign/envelope.h
+++ b/modules/turmericlane_bundle/sign/envelope.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "../parse/bundle_error.h"
-#include "keys.h"
+#include "secret_key.h"
+#include "trusted_keys.h"
 
 namespace turmericlane
 {
--- a/modules/turmericlane_bundle/sign/key_file.h
+++ b/modules/turmericlane_bundle/sign/key_file.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "keys.h"
+#include "secret_key.h"
+#include "trusted_keys.h"
 
 namespace turmericlane
 {
--- /dev/null
+++ b/modules/turmericlane_bundle/sign/secret_key.cpp
@@ -0,0 +1,88 @@
+#include "secret_key.h"
+
+#include "sodium_support.h"
+
+#include <sodium.h>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+constexpr std::string_view white_space = " \t\r\n";
+
+static_assert(crypto_sign_PUBLICKEYBYTES == std::tuple_size_v<public_key>);
+static_assert(crypto_sign_BYTES == std::tuple_size_v<signature_bytes>);
+static_assert(crypto_sign_SECRETKEYBYTES == 64);
+static_assert(crypto_sign_SEEDBYTES == 32);
+
+std::string_view trim(std::string_view text)
+{
+    auto first = text.find_first_not_of(white_space);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(white_space) - first + 1);
+}
+
+} // namespace
+
+secret_key secret_key::generate()
+{
+    require_sodium();
+    secret_key made;
+    public_key ignored;
+    crypto_sign_keypair(ignored.data(), made.bytes_.data());
+    return made;
+}
+
+result<secret_key> secret_key::from_hex_seed(std::string_view text)
+{
+    require_sodium();
+    std::array<std::uint8_t, crypto_sign_SEEDBYTES> seed{};
+    if (!from_hex(trim(text), seed))
+        return result<secret_key>::failure(
+            "not a secret key; expected 64 hexadecimal digits");
+    secret_key made;
+    public_key ignored;
+    crypto_sign_seed_keypair(ignored.data(), made.bytes_.data(), seed.data());
+    sodium_memzero(seed.data(), seed.size());
+    return made;
+}
+
+secret_key::secret_key(secret_key&& other) noexcept
+    : bytes_(other.bytes_)
+{
+    sodium_memzero(other.bytes_.data(), other.bytes_.size());
+}
+
+secret_key& secret_key::operator=(secret_key&& other) noexcept
+{
+    if (this == &other)
+        return *this;
+    bytes_ = other.bytes_;
+    sodium_memzero(other.bytes_.data(), other.bytes_.size());
+    return *this;
+}
+
+secret_key::~secret_key()
+{
+    sodium_memzero(bytes_.data(), bytes_.size());
+}
+
+public_key secret_key::to_public() const
+{
+    public_key made{};
+    crypto_sign_ed25519_sk_to_pk(made.data(), bytes_.data());
+    return made;
+}
+
+signature_bytes secret_key::sign(std::string_view message) const
+{
+    signature_bytes made{};
+    crypto_sign_detached(
+        made.data(), nullptr, bytes_of(message), message.size(), bytes_.data());
+    return made;
+}
+
+} // namespace turmericlane
--- a/modules/turmericlane_bundle/turmericlane_bundle.h
+++ b/modules/turmericlane_bundle/turmericlane_bundle.h
@@ -17,5 +17,7 @@
 #include "sign/hex.h"
 #include "sign/key_file.h"
 #include "sign/keys.h"
+#include "sign/secret_key.h"
+#include "sign/trusted_keys.h"
 #include "version/version_listener.h"
 #include "version/version_store.h"
--- a/modules/turmericlane_settings/options/endpoint_list_setting.h
+++ b/modules/turmericlane_settings/options/endpoint_list_setting.h
@@ -1,32 +1,14 @@
 #pragma once
 
+#include "endpoint.h"
 #include "setting.h"
 
 #include <cstddef>
-#include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace turmericlane
 {
 
-/** IP number and TCP port. */
-struct endpoint
-{
-    /** IPv4 or IPv6 number without brackets. */
-    std::string address;
-    std::uint16_t port = 0;
-
-    /** `address:port`, with brackets around an IPv6 number. */
-    std::string to_string() const;
-
-    friend bool operator==(const endpoint&, const endpoint&) = default;
-};
-
-/** Reads `127.0.0.1:80` or `[::1]:80`; host names are not accepted.
-    @returns nothing if the text is not an endpoint */
-std::optional<endpoint> parse_endpoint(std::string_view text);
-
 /** Endpoints separated by commas. */
 class endpoint_list_setting final : public setting
 {
--- a/modules/turmericlane_settings/turmericlane_settings.h
+++ b/modules/turmericlane_settings/turmericlane_settings.h
@@ -8,6 +8,7 @@
 */
 
 #include "options/choice_setting.h"
+#include "options/endpoint.h"
 #include "options/endpoint_list_setting.h"
 #include "options/flag_setting.h"
 #include "options/integer_setting.h"
