--- a/modules/turmericlane_decisions/entry/query_state.h
+++ b/modules/turmericlane_decisions/entry/query_state.h
@@ -53,6 +53,8 @@
         bool answered = false;
         bool failed = false;
         bool may_have_run = false;
+        /** It was asked for again because of its snapshot. */
+        bool asked_again = false;
         reason why = reason::none;
 
         /** True if it needs no further reply. */
@@ -110,8 +112,6 @@
     /** 0 until the first reply if no range was known at admission. */
     std::uint64_t snapshot = 0;
     time_point admitted;
-    /** The snapshot was chosen at admission, not by the first reply. */
-    bool admitted_pinned = false;
     bool repinned = false;
     /** Attempts up to this number belong to another snapshot. */
     std::uint32_t stale_attempts = 0;
--- a/modules/turmericlane_decisions/entry/search_engine.cpp
+++ b/modules/turmericlane_decisions/entry/search_engine.cpp
@@ -342,25 +342,47 @@
     resend(query, again, why);
 }
 
-/** A part can't be had from the pinned snapshot: asks for all parts again from
-    another one, once, or goes on without this part. */
+/** A part didn't come from the pinned snapshot: asks for it again if all groups
+    are known to serve that snapshot, otherwise for all parts from another one,
+    or goes on without this part; each once. */
 void search_engine::on_snapshot_lost(query_state& query, part& of, reason why)
 {
     if (!query.repinned && repin(query))
         return;
     of.why = why;
-    if (!of.waiting())
-        query.fail(of, why);
+    if (of.waiting() || ask_again(query, of))
+        return;
+    query.fail(of, why);
 }
 
-bool search_engine::repin(query_state& query)
+bool search_engine::ask_again(query_state& query, part& of)
 {
-    if (query.request.deadline - time_.now() < shortest_retry)
+    auto late = query.request.deadline - time_.now() < shortest_retry;
+    if (late || of.asked_again || newest_common(query) != query.snapshot)
         return false;
+    of.asked_again = true;
+    of.next_candidate = 0;
+    if (listener_ != nullptr)
+        listener_->retried(reason::snapshot_mismatch, query.request.work);
+    part* again[] = {&of};
+    send(query, again);
+    return true;
+}
+
+/** The newest snapshot that all groups of a query are known to serve. */
+std::uint64_t search_engine::newest_common(const query_state& query) const
+{
     std::vector<const service_map*> services;
     for (auto it : query.request.services)
         services.push_back(query.pinned->content->find_service(it));
-    auto newest = snapshots_.pin(services);
+    return snapshots_.pin(services);
+}
+
+bool search_engine::repin(query_state& query)
+{
+    if (query.request.deadline - time_.now() < shortest_retry)
+        return false;
+    auto newest = newest_common(query);
     // Asking again for the same snapshot would drop the replies that are there.
     if (newest == 0 || newest == query.snapshot)
         return false;
--- a/modules/turmericlane_decisions/entry/search_engine.h
+++ b/modules/turmericlane_decisions/entry/search_engine.h
@@ -83,6 +83,8 @@
     void on_part_failed(query_state& query, part& of, const shard_reply& reply);
     void on_snapshot_lost(query_state& query, part& of, reason why);
     bool repin(query_state& query);
+    bool ask_again(query_state& query, part& of);
+    std::uint64_t newest_common(const query_state& query) const;
     void check_owners(query_state& query);
     void resend(query_state& query, std::span<part* const> parts, reason why);
     void finish_if_complete(query_state& query);
--- a/modules/turmericlane_decisions/owner/rank_queue.h
+++ b/modules/turmericlane_decisions/owner/rank_queue.h
@@ -14,8 +14,9 @@
 
     Urgent entries go first; the other ranks follow in order of arrival while
     their queues are short, otherwise the more urgent one goes first. A waiting
-    rank below its guaranteed share of the recent slot time goes before all. A rank that doesn't use its share
-    lends it to the others at once, as only waiting ranks are considered.
+    rank below its guaranteed share of the recent slot time goes before all. A
+   rank that doesn't use its share lends it to the others at once, as only
+   waiting ranks are considered.
 
     An entry that is withdrawn stays in its queue until it comes up; the user
     of the queue recognises it then.
--- a/modules/turmericlane_settings/turmericlane_settings.h
+++ b/modules/turmericlane_settings/turmericlane_settings.h
@@ -8,10 +8,10 @@
 */
 
 #include "options/choice_setting.h"
-#include "options/ip_endpoint.h"
 #include "options/endpoint_list_setting.h"
 #include "options/flag_setting.h"
 #include "options/integer_setting.h"
+#include "options/ip_endpoint.h"
 #include "options/millisecond_setting.h"
 #include "options/real_setting.h"
 #include "options/setting.h"
