End the platform's client at once when it is stopped

Cause: found by reading: a read that began just after the stop had broken off the connection would have held the shutdown up until the long poll's time-out. Change: the stop breaks reads off again every 20 ms until the thread has ended.

--- a/modules/turmericlane_node/platform/platform_client.cpp
+++ b/modules/turmericlane_node/platform/platform_client.cpp
@@ -12,6 +12,10 @@
 
 constexpr std::chrono::milliseconds connect_timeout{500};
 
+/** How often a stop breaks off the read again: a read that begins right after
+    the first time would otherwise hold the stop up until its time-out. */
+constexpr std::chrono::milliseconds stop_period{20};
+
 } // namespace
 
 platform_client::platform_client(host_port where)
@@ -36,14 +40,21 @@
 
 void platform_client::stop()
 {
+    if (!thread_.joinable())
+        return;
     {
-        std::lock_guard lock(mutex_);
+        std::unique_lock lock(mutex_);
         stopping_ = true;
+        changed_.notify_all();
+        while (!finished_)
+        {
+            lock.unlock();
+            client_->stop();
+            lock.lock();
+            changed_.wait_for(lock, stop_period, [this] { return finished_; });
+        }
     }
-    changed_.notify_one();
-    client_->stop();
-    if (thread_.joinable())
-        thread_.join();
+    thread_.join();
 }
 
 void platform_client::get(
@@ -55,7 +66,7 @@
         next_ = std::make_unique<request>(
             request{std::move(path), timeout, std::move(done)});
     }
-    changed_.notify_one();
+    changed_.notify_all();
 }
 
 void platform_client::run()
@@ -67,7 +78,11 @@
             std::unique_lock lock(mutex_);
             changed_.wait(lock, [this] { return stopping_ || next_; });
             if (stopping_)
+            {
+                finished_ = true;
+                changed_.notify_all();
                 return;
+            }
             taken = std::move(next_);
         }
         taken->done(read(*taken));
--- a/modules/turmericlane_node/platform/platform_client.h
+++ b/modules/turmericlane_node/platform/platform_client.h
@@ -70,6 +70,7 @@
     std::condition_variable changed_;
     std::unique_ptr<request> next_;
     bool stopping_ = false;
+    bool finished_ = false;
     std::unique_ptr<httplib::Client> client_;
     std::thread thread_;
 };
--- /dev/null
+++ b/modules/turmericlane_node/tests/platform_client_tests.cpp
@@ -0,0 +1,35 @@
+#include "../platform/platform_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+using namespace turmericlane;
+using boost::asio::ip::tcp;
+
+TEST_CASE("a stop breaks off a long poll that is running")
+{
+    // Guards against a shutdown that waits for the configuration service.
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(
+        context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    platform_client client({"127.0.0.1", acceptor.local_endpoint().port()});
+    client.start();
+    platform_answer got;
+    got.status = -1;
+    client.get(
+        "/v1/bundle", std::chrono::hours(1),
+        [&got](platform_answer answer) { got = std::move(answer); });
+    tcp::socket accepted = acceptor.accept();
+    client.stop();
+    CHECK(got.status == 0);
+    CHECK_FALSE(got.error.empty());
+}
+
+TEST_CASE("a stop without a read returns")
+{
+    platform_client client({"127.0.0.1", 1});
+    client.start();
+    client.stop();
+    client.stop();
+}
