Add an event-driven gateway and its adapter to the users' platform

Cause: the users' machines have a platform of their own, one small core and no disk; callers and searchers speak plain HTTP there. Change: module forwarding decides (routes, replica choice, hedges, budgets, parts), module gateway carries requests on one event loop, platform/ decodes settings, headers and store entries. Release builds without warnings. Result: compiles; not run yet.

--- a/cmake/turmericlane_module.cmake
+++ b/cmake/turmericlane_module.cmake
@@ -35,7 +35,7 @@
   endforeach()
 
   file(GLOB tests CONFIGURE_DEPENDS ${folder}/tests/*.cpp)
-  if(tests)
+  if(tests AND TURMERICLANE_TESTS)
     add_executable(${target}_tests ${tests})
     target_compile_options(${target}_tests PRIVATE ${TURMERICLANE_WARNINGS})
     target_compile_definitions(
--- /dev/null
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -0,0 +1,209 @@
+#pragma once
+
+#include "../admission/admission_control.h"
+#include "../attempts/hedge_timing.h"
+#include "../attempts/repeat_budget.h"
+#include "../gather/answer_rule.h"
+#include "../searchers/replica_choice.h"
+#include "../searchers/searcher_registry.h"
+#include "forward_request.h"
+
+#include <turmericlane_decisions/timing/timer_heap.h>
+
+#include <deque>
+#include <map>
+
+namespace turmericlane
+{
+
+/** Settings of a forward_engine. */
+struct forward_settings
+{
+    /** Data centre of this instance. */
+    std::string data_centre;
+    /** Seed of random choices. */
+    std::uint64_t seed = 0;
+    repeat_limits repeats;
+};
+
+/** Receives what happens to requests, for logs and metrics. */
+class forward_listener
+{
+public:
+    virtual ~forward_listener() = default;
+
+    /** An attempt was sent again to another searcher.
+        @param hedge  true if the earlier one still runs */
+    virtual void repeated(
+        const forward_request& request,
+        const std::string& service,
+        bool hedge) = 0;
+
+    /** An attempt ended without an answer, or with a failure. */
+    virtual void attempt_failed(
+        const forward_request& request,
+        const searcher& target,
+        attempt_outcome how) = 0;
+};
+
+/** Takes requests from admission to their answer: chooses searchers, hedges and
+    retries within the budget, gathers parts, and decides when to answer.
+
+    Decision code: events go in, actions come out through forward_actions. One
+    thread calls it.
+
+    @see forward_actions, searcher_registry
+*/
+class forward_engine
+{
+public:
+    /** All references must outlive the engine. */
+    forward_engine(
+        const forward_settings& settings,
+        const clock& time,
+        const searcher_registry& searchers,
+        forward_actions& actions,
+        forward_listener& listener);
+
+    /** A request arrived. finish may be called before this returns. */
+    void start(forward_request request);
+
+    /** The caller has gone: its attempts end and it gets no answer. */
+    void on_caller_left(request_handle id);
+
+    /** An attempt ended. */
+    void on_result(attempt_handle attempt, attempt_result&& result);
+
+    /** A searcher may take more requests than before. */
+    void on_room(const std::string& service);
+
+    /** Work waits for the processor for that time. */
+    void on_lag(duration lag);
+
+    /** Changes the number of live instances, this one included. */
+    void set_instances(std::uint32_t instances);
+
+    /** To be called at or after next_wakeup. */
+    void on_timer();
+
+    /** When on_timer wants to be called; time_point::max() for never. */
+    time_point next_wakeup() const
+    {
+        return timers_.first_due();
+    }
+
+    /** Requests without an answer. */
+    std::size_t in_flight() const noexcept
+    {
+        return requests_.size();
+    }
+
+    /** Attempts under way. */
+    std::size_t attempts_in_flight() const noexcept
+    {
+        return attempts_.size();
+    }
+
+private:
+    enum class part_state : std::uint8_t
+    {
+        waiting,
+        running,
+        arrived,
+        failed
+    };
+
+    struct part
+    {
+        const std::string* service = nullptr;
+        part_state state = part_state::waiting;
+        /** Attempts under way. */
+        std::uint32_t running = 0;
+        /** Ended attempts that may have been executed. */
+        std::uint32_t executed = 0;
+        /** Ended attempts that were not executed. */
+        std::uint32_t rejected = 0;
+        time_point last_sent;
+        std::vector<std::shared_ptr<searcher>> tried;
+        std::vector<attempt_handle> attempts;
+        searcher_answer answer;
+    };
+
+    struct request_state
+    {
+        forward_request request;
+        time_point arrived;
+        time_point check_at;
+        answer_limits limits;
+        hedge_timing* timing = nullptr;
+        std::vector<part> parts;
+        std::size_t parts_arrived = 0;
+        std::size_t parts_failed = 0;
+        std::uint32_t sent = 0;
+        std::uint32_t repeats = 0;
+        bool may_have_run = false;
+    };
+
+    struct attempt_state
+    {
+        request_handle request = 0;
+        std::size_t part = 0;
+        std::shared_ptr<searcher> target;
+        hedge_timing* timing = nullptr;
+        time_point sent;
+    };
+
+    struct waiting_part
+    {
+        request_handle request = 0;
+        std::size_t part = 0;
+    };
+
+    struct timer
+    {
+        request_handle request = 0;
+        attempt_handle attempt = 0;
+    };
+
+    using queue = std::map<std::uint32_t, std::deque<waiting_part>>;
+
+    duration queue_wait(const route& of, const std::string& service);
+    bool refused(const forward_request& request, const std::string* service);
+    std::size_t usable_shards(const route& of) const;
+    void dispatch(request_state& of, std::size_t index);
+    void send(
+        request_state& of,
+        std::size_t index,
+        const std::shared_ptr<searcher>& to);
+    bool may_repeat(const request_state& of, const part& which) const;
+    void retry(request_state& of, std::size_t index, bool executed);
+    void take_answer(request_state& of, std::size_t index, attempt_result&&);
+    void fail_part(request_state& of, std::size_t index);
+    void hedge(request_state& of, std::size_t index);
+    void check(request_handle id);
+    void check_parts(request_state& of);
+    void set_check(request_state& of);
+    void expire_attempt(attempt_handle id);
+    /** @returns true if the request has ended and its state is gone */
+    bool settle(request_state& of);
+    void finish(request_state& of, forward_failure failure);
+    void release_attempts(const request_state& of, bool at_once);
+    void pump(const std::string& service);
+
+    const clock& clock_;
+    const searcher_registry& searchers_;
+    forward_actions& actions_;
+    forward_listener& listener_;
+    replica_choice replicas_;
+    repeat_budget budget_;
+    admission_control admission_;
+    std::unordered_map<std::string, hedge_timing> timings_;
+    std::unordered_map<request_handle, request_state> requests_;
+    std::unordered_map<attempt_handle, attempt_state> attempts_;
+    std::unordered_map<std::string, queue> queues_;
+    timer_heap<timer> timers_;
+    attempt_handle last_attempt_ = 0;
+    duration lag_{};
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_forwarding/routing/weighted_split.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "../model/route_configuration.h"
+
+#include <span>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** Deals requests to services in proportion to their weights, by smooth
+    weighted round robin: over any short run the shares are exact to one
+    request.
+
+    @see route_table
+*/
+class weighted_split
+{
+public:
+    /** @param services  at least one; if all weights are zero, the first gets
+                         every request
+        @param phase     0 to 1, where in its cycle the split starts */
+    weighted_split(std::span<const weighted_service> services, double phase);
+
+    /** Index of the service that takes the next request. */
+    std::size_t next();
+
+private:
+    struct target
+    {
+        double weight = 0.0;
+        double credit = 0.0;
+    };
+
+    std::vector<target> targets_;
+    double total_ = 0.0;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "searcher.h"
+
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace turmericlane
+{
+
+/** Selects the searcher for an attempt among the replicas of a service.
+
+    The cheapest one by searcher::cost is taken; a replica in this instance's
+    data centre has an advantage, because the way to it is shorter and not
+    charged. Ejected replicas are used only if there is no other.
+
+    With more instances than connections, an instance uses a subset of the
+    replicas, chosen by rendezvous hashing, so that the connections of all
+    instances spread evenly over the replicas.
+
+    @see searcher
+*/
+class replica_choice
+{
+public:
+    /** How a selection ended. */
+    enum class outcome : std::uint8_t
+    {
+        chosen,
+        /** A suitable searcher exists, but none has room. */
+        busy,
+        /** No suitable searcher exists. */
+        none
+    };
+
+    /** A selected searcher. */
+    struct choice
+    {
+        outcome result = outcome::none;
+        std::shared_ptr<searcher> target;
+    };
+
+    /** What an attempt needs. */
+    struct needs
+    {
+        /** Searchers that are not to be used again. */
+        std::span<const std::shared_ptr<searcher>> tried;
+        /** Only searchers that are believed to answer at once. */
+        bool idle_only = false;
+    };
+
+    /** @param data_centre  data centre of this instance
+        @param seed         seed of the choice between equal replicas */
+    replica_choice(std::string data_centre, std::uint64_t seed);
+
+    /** Selects a searcher. */
+    choice choose(
+        std::span<const std::shared_ptr<searcher>> replicas,
+        const needs& wanted,
+        time_point now);
+
+private:
+    double cost(const searcher& of, time_point now);
+
+    std::string data_centre_;
+    std::mt19937_64 random_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "searcher_entry.h"
+
+#include <memory>
+
+namespace turmericlane
+{
+
+/** Load that a searcher reports with an answer. */
+struct searcher_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+};
+
+/** One searcher as this instance sees it: requests in flight, speed relative to
+    the route's usual latency, reported load, and whether it is out of use.
+
+    @see replica_choice, searcher_registry
+*/
+class searcher
+{
+public:
+    /** @param entry  what it published
+        @param now    present time */
+    searcher(searcher_entry entry, time_point now);
+
+    /** What it published last. */
+    const searcher_entry& entry() const noexcept
+    {
+        return entry_;
+    }
+
+    /** Takes over a newer entry. Another incarnation starts without a past. */
+    void update(searcher_entry entry, time_point now);
+
+    /** Its entry is gone, or its address serves another searcher. */
+    void remove() noexcept
+    {
+        removed_ = true;
+    }
+
+    /** True if no new work may be sent. */
+    bool leaving() const noexcept
+    {
+        return removed_ || entry_.draining;
+    }
+
+    /** Requests that this instance may have in flight to it. */
+    void set_window(std::uint32_t requests) noexcept
+    {
+        window_ = requests;
+    }
+
+    /** Requests that this instance may have in flight to it. */
+    std::uint32_t window() const noexcept
+    {
+        return window_;
+    }
+
+    /** True if one more request may be sent. */
+    bool has_room() const noexcept
+    {
+        return in_flight_ < window_;
+    }
+
+    /** Requests in flight. */
+    std::uint32_t in_flight() const noexcept
+    {
+        return in_flight_;
+    }
+
+    /** A request is sent. */
+    void on_start() noexcept;
+
+    /** A request ended, in whatever way. */
+    void on_end() noexcept;
+
+    /** A request was answered.
+        @param took   time from sending to the answer
+        @param usual  median latency of such requests; zero if not known */
+    void on_answer(duration took, duration usual, time_point now);
+
+    /** A request is overdue: it takes much longer than usual. New requests
+        avoid the searcher until it answers, or for a short time. */
+    void on_overdue(time_point now) noexcept;
+
+    /** A request was given up without an answer. A searcher that has answered
+        nothing since, for longer than any pause, counts as failed.
+        @param sent  when the request was sent */
+    void on_silence(time_point sent, time_point now) noexcept;
+
+    /** A request or connection failed in a way that may be the searcher's
+        fault; it is out of use until a connection to it was opened, which is
+        tried after a time that grows with each failure in a row. */
+    void on_failure(time_point now) noexcept;
+
+    /** It refused a request because it was full. */
+    void on_shed(time_point now) noexcept;
+
+    /** A connection to it was opened after it had failed. */
+    void on_reachable() noexcept;
+
+    /** It reported its load. */
+    void on_load(const searcher_load& load, time_point now) noexcept;
+
+    /** True if failures have taken it out of use. */
+    bool ejected() const noexcept
+    {
+        return ejected_;
+    }
+
+    /** True if a connection to the ejected searcher is to be tried. */
+    bool probe_due(time_point now) const noexcept
+    {
+        return ejected_ && now >= probe_at_;
+    }
+
+    /** Failures since the last answer. */
+    std::uint32_t failures() const noexcept
+    {
+        return failures_;
+    }
+
+    /** Expected cost of one more request relative to an idle searcher of usual
+        speed, whose cost is 1. */
+    double cost(time_point now) const noexcept;
+
+private:
+    double slowness(time_point now) const noexcept;
+    double utilisation(time_point now) const noexcept;
+
+    searcher_entry entry_;
+    bool removed_ = false;
+    std::uint32_t window_ = 1;
+    std::uint32_t in_flight_ = 0;
+    std::uint32_t failures_ = 0;
+    time_point last_answer_{};
+    double slowness_ = 1.0;
+    time_point slowness_at_;
+    double load_ = 0.0;
+    time_point load_at_;
+    std::uint32_t sent_since_load_ = 0;
+    time_point warm_at_;
+    time_point avoided_until_{};
+    bool ejected_ = false;
+    time_point probe_at_{};
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "searcher.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** Receives the changes of a searcher_registry; must not call back. */
+class searcher_listener
+{
+public:
+    virtual ~searcher_listener() = default;
+
+    /** A searcher may get new work. */
+    virtual void searcher_added(const std::shared_ptr<searcher>& which) = 0;
+
+    /** A searcher gets no new work: it drains, or its entry is gone.
+        @param why  short text for the log */
+    virtual void searcher_leaving(
+        const std::shared_ptr<searcher>& which, std::string_view why) = 0;
+};
+
+/** The searchers that are believed to exist, by id and by service.
+
+    Entries come from a store that may be away. An entry that lapses while the
+    store is away is kept for a short time after its return, in which a living
+    searcher publishes itself again; one that is missing after that is gone.
+    With the store in reach a removal counts at once.
+
+    Decision code; one thread uses it.
+
+    @see searcher
+*/
+class searcher_registry
+{
+public:
+    /** How long after the store's return a missing entry is kept. */
+    static constexpr auto lapsed_entry_grace = std::chrono::milliseconds(2200);
+
+    /** @param time      clock; must outlive the registry
+        @param listener  is told of changes; must outlive the registry */
+    searcher_registry(const clock& time, searcher_listener& listener);
+
+    /** An entry was written. */
+    void on_entry(const searcher_entry& entry);
+
+    /** An entry was removed, or does not describe a searcher any more. */
+    void on_removed(const std::string& id);
+
+    /** All entries were read; those missing are removed. */
+    void on_listing(std::span<const searcher_entry> entries);
+
+    /** The store cannot be reached. */
+    void on_store_lost();
+
+    /** The store answers again. */
+    void on_store_returned();
+
+    /** The address of a searcher is served by another one. */
+    void on_misdirected(const std::string& id);
+
+    /** To be called at or after next_wakeup. */
+    void on_timer();
+
+    /** When on_timer wants to be called; time_point::max() for never. */
+    time_point next_wakeup() const;
+
+    /** Searchers of a service that get new work. */
+    std::span<const std::shared_ptr<searcher>>
+    of_service(const std::string& service) const;
+
+    /** Calls a function for each searcher. */
+    void for_each(
+        const std::function<void(const std::shared_ptr<searcher>&)>& call)
+        const;
+
+    /** Searchers known, leaving ones included. */
+    std::size_t size() const noexcept
+    {
+        return by_id_.size();
+    }
+
+private:
+    bool keeps_lapsed() const;
+    void remove(const std::string& id, std::string_view why);
+    void enlist(const std::shared_ptr<searcher>& which);
+    void delist(const std::shared_ptr<searcher>& which, std::string_view why);
+
+    const clock& clock_;
+    searcher_listener& listener_;
+    std::unordered_map<std::string, std::shared_ptr<searcher>> by_id_;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<searcher>>>
+        by_service_;
+    bool store_lost_ = false;
+    time_point store_returned_{};
+    /** Ids whose entries lapsed, to be removed at the end of the grace. */
+    std::vector<std::string> lapsed_;
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -0,0 +1,646 @@
+#include "gateway.h"
+
+#include "request_text.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Period in which connections, sessions and timers of less haste are looked
+    at, and the lag of the loop is measured. */
+constexpr auto sweep_period = 50ms;
+/** Weight of one measurement in the smoothed lag. */
+constexpr int lag_weight = 2;
+/** Instances that are assumed until the peers are known. */
+constexpr std::uint32_t assumed_instances = 8;
+constexpr auto time_to_know_peers = 3s;
+/** A lower number of instances is believed after this time: a partition must
+    not make an instance use the connections of those that it cannot see. */
+constexpr auto lower_count_delay = 30s;
+/** What a caller is told while no configuration is known. */
+constexpr auto starting_retry_after = 250ms;
+/** Time before the end of the shutdown in which requests finish. */
+constexpr auto drain_time = 1800ms;
+/** One of so many answers of the usual kind is logged. */
+constexpr std::uint64_t usual_sample = 128;
+constexpr std::uint64_t repeat_sample = 16;
+
+std::int64_t milliseconds(duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+member self_of(const gateway_settings& settings)
+{
+    member made;
+    made.where = settings.where;
+    made.data_centre = settings.data_centre;
+    made.nonce = settings.nonce;
+    made.index = static_cast<ordinal>(settings.nonce);
+    return made;
+}
+
+shutdown_limits limits_of(const gateway_settings& settings)
+{
+    shutdown_limits made;
+    made.total = settings.shutdown_time;
+    made.leaving = std::max<duration>(
+        settings.shutdown_time - drain_time, settings.shutdown_time / 2);
+    return made;
+}
+
+} // namespace
+
+gateway::gateway(
+    event_context& loop,
+    const clock& time,
+    gateway_settings settings,
+    json_log& log)
+    : loop_(loop)
+    , clock_(time)
+    , settings_(std::move(settings))
+    , log_(log)
+    , registry_(time, *this)
+    , pool_(loop, time, settings_.names, *this)
+    , engine_(
+          {settings_.data_centre, settings_.nonce, settings_.repeats},
+          time,
+          registry_,
+          *this,
+          *this)
+    , peers_(loop, time, self_of(settings_), settings_.nonce, *this)
+    , listener_(loop, *this, time)
+    , shutdown_(limits_of(settings_), time, *this)
+    , timer_(loop, [this] { wake(); })
+    , sweep_timer_(loop.get_executor())
+    , started_(time.now())
+{
+    count_instances();
+}
+
+gateway::~gateway() = default;
+
+std::optional<std::string> gateway::start()
+{
+    if (auto why = listener_.listen(
+            settings_.where.address, settings_.where.http_port))
+        return why;
+    if (auto why = peers_.start())
+        return why;
+    sweep();
+    return std::nullopt;
+}
+
+std::optional<std::string> gateway::serve(
+    const std::string& address, std::uint16_t port, local_api::function answer)
+{
+    apis_.emplace_back(loop_, clock_, std::move(answer));
+    return apis_.back().listen(address, port);
+}
+
+void gateway::follow(store_reader& reader)
+{
+    follower_ = std::make_unique<store_follower>(
+        clock_, reader, static_cast<store_listener&>(*this), settings_.nonce);
+    follower_->set_instances(instances_, settings_.store_calls_per_second);
+    follower_->start();
+    set_timer();
+}
+
+void gateway::set_seeds(std::span<const listed_instance> seeds)
+{
+    peers_.set_seeds(seeds);
+}
+
+void gateway::terminate()
+{
+    shutdown_.on_terminate();
+    set_timer();
+}
+
+bool gateway::ready() const
+{
+    return routes_ && follower_ && follower_->listed() &&
+           shutdown_.phase() == shutdown_phase::serving;
+}
+
+std::vector<endpoint> gateway::usable_instances(std::size_t most)
+{
+    std::vector<endpoint> all;
+    if (shutdown_.phase() == shutdown_phase::serving)
+        all.push_back(settings_.where);
+    for (const auto& it : peers_.table().members())
+    {
+        if (it.state == member_state::live)
+            all.push_back(it.where);
+    }
+    if (all.empty())
+        all.push_back(settings_.where);
+    if (all.size() <= most)
+        return all;
+    // Callers spread over all instances, because each answer names others.
+    std::rotate(
+        all.begin(),
+        all.begin() +
+            static_cast<std::ptrdiff_t>(rotation_++ * most % all.size()),
+        all.end());
+    all.resize(most);
+    return all;
+}
+
+std::string gateway::metrics_text()
+{
+    metrics_.version.set(
+        routes_ ? static_cast<double>(routes_->configuration().version) : 0.0);
+    metrics_.instances.set(instances_);
+    metrics_.searchers.set(static_cast<double>(registry_.size()));
+    metrics_.connections.set(static_cast<double>(pool_.connections()));
+    metrics_.connections_opened.set(static_cast<double>(pool_.opened()));
+    metrics_.lag_seconds.set(std::chrono::duration<double>(lag_).count());
+    metrics_.log_lines_dropped.set(static_cast<double>(log_.dropped()));
+    if (follower_)
+        metrics_.store_age_seconds.set(
+            std::chrono::duration<double>(
+                clock_.now() - follower_->last_answer())
+                .count());
+    return metrics_.text();
+}
+
+void gateway::on_store_answer(store_answer&& answer)
+{
+    follower_->on_answer(std::move(answer));
+    set_timer();
+}
+
+void gateway::on_store_failure(store_failure why)
+{
+    follower_->on_failure(why);
+    set_timer();
+}
+
+void gateway::store_changed(store_change&& change)
+{
+    if (auto* configuration = std::get_if<route_configuration>(&change))
+        take_configuration(std::move(*configuration));
+    else if (const auto* entry = std::get_if<searcher_entry>(&change))
+        registry_.on_entry(*entry);
+    else if (const auto* gone = std::get_if<searcher_removal>(&change))
+        registry_.on_removed(gone->id);
+    set_timer();
+}
+
+void gateway::store_listed(std::span<const searcher_entry> searchers)
+{
+    registry_.on_listing(searchers);
+    log_.state(
+        gateway_event::store_listed,
+        {{"searchers", static_cast<std::int64_t>(searchers.size())}});
+    set_timer();
+}
+
+void gateway::store_lost(store_failure why)
+{
+    registry_.on_store_lost();
+    log_.state(
+        gateway_event::store_lost,
+        {{"why", to_string(why)},
+         {"age_ms", milliseconds(clock_.now() - follower_->last_answer())}});
+}
+
+void gateway::store_returned()
+{
+    registry_.on_store_returned();
+    log_.state(gateway_event::store_returned, {});
+    set_timer();
+}
+
+void gateway::on_request(
+    const std::shared_ptr<caller_session>& from, caller_request&& request)
+{
+    if (shutdown_.phase() == shutdown_phase::draining)
+    {
+        refuse(*from, 503, duration::zero());
+        return;
+    }
+    if (!routes_ || !follower_->listed())
+    {
+        refuse(*from, 503, starting_retry_after);
+        return;
+    }
+    const auto* const how = routes_->find(request.host(), request.path());
+    if (how == nullptr)
+    {
+        refuse(*from, 404, duration::zero());
+        return;
+    }
+    if (field(request.fields, settings_.names.request_id).empty())
+    {
+        refuse(*from, 400, duration::zero());
+        return;
+    }
+    const auto id = ++last_request_;
+    from->request_number = id;
+    auto& made = pending_[id];
+    made.session = from;
+    made.text = make_outgoing(request, settings_.names, how->is_gathered());
+    made.arrived = clock_.now();
+    made.target = how->target;
+    made.route_name = how->name;
+
+    forward_request work;
+    work.id = id;
+    work.routes = routes_;
+    work.how = how;
+    work.time_left =
+        read_time_left(request, settings_.names).value_or(how->timeout);
+    work.label = made.text.id;
+    engine_.start(std::move(work));
+    set_timer();
+}
+
+void gateway::on_caller_left(caller_session& from)
+{
+    const auto found = pending_.find(from.request_number);
+    if (found == pending_.end() || found->second.session.get() != &from)
+        return;
+    metrics_.abandoned.add();
+    log_.detail(
+        gateway_event::request_abandoned,
+        {{"request", found->second.text.id},
+         {"route", found->second.route_name},
+         {"after_ms",
+          milliseconds(clock_.now() - found->second.arrived)}});
+    pending_.erase(found);
+    engine_.on_caller_left(from.request_number);
+}
+
+void gateway::on_bad_request(unsigned status)
+{
+    metrics_.on_local_refusal(status);
+    log_.detail(
+        gateway_event::request_malformed,
+        {{"status", static_cast<std::int64_t>(status)}});
+}
+
+const caller_limits& gateway::limits() const
+{
+    return routes_ ? routes_->configuration().limits : default_limits_;
+}
+
+bool gateway::closing() const
+{
+    return shutdown_.phase() != shutdown_phase::serving;
+}
+
+void gateway::refuse(
+    caller_session& from, unsigned status, duration retry_after)
+{
+    metrics_.on_local_refusal(status);
+    std::string fields;
+    if (status == 503)
+        fields = retry_fields(retry_after);
+    from.respond(status, fields, {});
+}
+
+void gateway::send(
+    attempt_handle attempt,
+    request_handle request,
+    const std::shared_ptr<searcher>& target,
+    duration time_left)
+{
+    const auto found = pending_.find(request);
+    assert(found != pending_.end());
+    pool_.send(attempt, found->second.text, target, time_left);
+}
+
+void gateway::abandon(attempt_handle attempt)
+{
+    pool_.abandon(attempt);
+}
+
+void gateway::finish(request_handle request, forward_result&& result)
+{
+    const auto found = pending_.find(request);
+    assert(found != pending_.end());
+    const auto ended = std::move(found->second);
+    pending_.erase(found);
+    const auto took = clock_.now() - ended.arrived;
+    metrics_.on_result(result, took, took <= ended.target);
+    log_result(ended, result, took);
+    // The answer may let the session start its next request, which must not
+    // happen inside the engine.
+    boost::asio::post(
+        loop_, [this, ended, made = std::move(result)]
+        { answer(ended, made); });
+}
+
+void gateway::answer(const pending_request& to, const forward_result& result)
+{
+    auto& session = *to.session;
+    if (!session.busy())
+        return;
+    if (result.failure == forward_failure::none)
+    {
+        session.respond(
+            result.answer.status, answer_fields(result, settings_.names),
+            result.answer.body);
+        return;
+    }
+    if (result.execution == outcome::not_run)
+    {
+        session.respond(503, retry_fields(result.retry_after), {});
+        return;
+    }
+    if (result.failure == forward_failure::attempts_failed &&
+        !result.answer.signature.empty())
+    {
+        session.respond(
+            result.answer.status, answer_fields(result, settings_.names),
+            result.answer.body);
+        return;
+    }
+    session.respond(
+        result.failure == forward_failure::deadline ? 504 : 502, {}, {});
+}
+
+void gateway::log_result(
+    const pending_request& of, const forward_result& result, duration took)
+{
+    const auto failed = result.failure != forward_failure::none;
+    const auto late = took > of.target;
+    if (!failed && !late && result.missing_parts == 0)
+    {
+        const auto every = result.repeats > 0 ? repeat_sample : usual_sample;
+        if (++samples_ % every != 0)
+            return;
+    }
+    auto what = gateway_event::request_answered;
+    if (failed)
+        what = result.execution == outcome::not_run
+                   ? gateway_event::request_refused
+                   : gateway_event::request_failed;
+    log_.detail(
+        what, {{"request", of.text.id},
+               {"route", of.route_name},
+               {"why", to_string(result.failure)},
+               {"execution", to_string(result.execution)},
+               {"took_ms", milliseconds(took)},
+               {"target_ms", milliseconds(of.target)},
+               {"missing", static_cast<std::int64_t>(result.missing_parts)},
+               {"attempts", static_cast<std::int64_t>(result.attempts)},
+               {"repeats", static_cast<std::int64_t>(result.repeats)},
+               {"retry_after_ms", milliseconds(result.retry_after)},
+               {"lag_ms", milliseconds(lag_)},
+               {"version",
+                static_cast<std::int64_t>(
+                    routes_->configuration().version)}});
+}
+
+void gateway::repeated(
+    const forward_request& request, const std::string& service, bool hedge)
+{
+    metrics_.on_repeat(hedge);
+    if (hedge && ++samples_ % repeat_sample != 0)
+        return;
+    log_.detail(
+        gateway_event::attempt_repeated,
+        {{"request", request.label},
+         {"service", service},
+         {"hedge", hedge}});
+}
+
+void gateway::attempt_failed(
+    const forward_request& request,
+    const searcher& target,
+    attempt_outcome how)
+{
+    metrics_.on_attempt_failed(how);
+    log_.detail(
+        gateway_event::attempt_failed,
+        {{"request", request.label},
+         {"service", target.entry().service},
+         {"searcher", target.entry().id},
+         {"how", to_string(how)},
+         {"failures", static_cast<std::int64_t>(target.failures())}});
+}
+
+void gateway::searcher_added(const std::shared_ptr<searcher>& which)
+{
+    set_window(*which);
+    log_.state(
+        gateway_event::searcher_added, {{"searcher", which->entry().id},
+                                        {"service", which->entry().service},
+                                        {"address", which->entry().address}});
+    const auto known =
+        routes_ && routes_->max_connections(which->entry().service);
+    if (known)
+        pool_.warm(which);
+}
+
+void gateway::searcher_leaving(
+    const std::shared_ptr<searcher>& which, std::string_view why)
+{
+    log_.state(
+        gateway_event::searcher_leaving, {{"searcher", which->entry().id},
+                                          {"service", which->entry().service},
+                                          {"why", why}});
+    pool_.close_idle(which);
+}
+
+void gateway::attempt_ended(attempt_handle attempt, attempt_result&& result)
+{
+    engine_.on_result(attempt, std::move(result));
+    set_timer();
+}
+
+void gateway::searcher_reachable(const std::shared_ptr<searcher>& which)
+{
+    which->on_reachable();
+    engine_.on_room(which->entry().service);
+}
+
+void gateway::take_configuration(route_configuration&& configuration)
+{
+    const auto present = routes_ ? routes_->configuration().version : 0;
+    if (configuration.version <= present)
+    {
+        if (configuration.version < present)
+            log_.state(
+                gateway_event::configuration_ignored,
+                {{"version",
+                  static_cast<std::int64_t>(configuration.version)},
+                 {"in_force", static_cast<std::int64_t>(present)}});
+        return;
+    }
+    constexpr std::uint64_t phases = 101;
+    const auto phase =
+        static_cast<double>(settings_.nonce % phases) / phases;
+    routes_ = std::make_shared<route_table>(std::move(configuration), phase);
+    const auto& in_force = routes_->configuration();
+    peers_.set_version(in_force.version);
+    log_.state(
+        gateway_event::configuration_in_force,
+        {{"version", static_cast<std::int64_t>(in_force.version)},
+         {"routes", static_cast<std::int64_t>(in_force.routes.size())}});
+    set_windows();
+    warm_searchers();
+}
+
+void gateway::set_window(searcher& of)
+{
+    std::optional<std::uint32_t> limit;
+    if (routes_)
+        limit = routes_->max_connections(of.entry().service);
+    of.set_window(connection_share(limit.value_or(1), instances_));
+}
+
+void gateway::set_windows()
+{
+    registry_.for_each([this](const auto& it) { set_window(*it); });
+}
+
+void gateway::warm_searchers()
+{
+    if (!routes_)
+        return;
+    for (const auto& service : routes_->configuration().services)
+    {
+        for (const auto& it : registry_.of_service(service.name))
+            pool_.warm(it);
+    }
+}
+
+void gateway::member_changed(const member& value)
+{
+    log_.state(
+        gateway_event::member_changed,
+        {{"address", value.where.address},
+         {"state", to_string(value.state)},
+         {"incarnation", static_cast<std::int64_t>(value.incarnation)}});
+}
+
+void gateway::peer_version(std::uint64_t version)
+{
+    if (follower_ && routes_ && version > routes_->configuration().version)
+        follower_->on_newer_version();
+}
+
+void gateway::process_paused(duration gap)
+{
+    log_.state(
+        gateway_event::process_paused, {{"gap_ms", milliseconds(gap)}});
+}
+
+void gateway::count_instances()
+{
+    const auto now = clock_.now();
+    auto seen = static_cast<std::uint32_t>(peers_.table().live_count());
+    if (now - started_ < time_to_know_peers)
+        seen = std::max(seen, assumed_instances);
+    if (seen == instances_)
+    {
+        instances_lower_since_ = time_point::max();
+        return;
+    }
+    if (seen < instances_)
+    {
+        instances_lower_since_ = std::min(instances_lower_since_, now);
+        // The assumed number ends with the start; a counted one is kept.
+        const auto assumed = instances_ == assumed_instances &&
+                             now - started_ < 2 * time_to_know_peers;
+        if (!assumed && now - instances_lower_since_ < lower_count_delay)
+            return;
+    }
+    instances_ = std::max(seen, 1U);
+    instances_lower_since_ = time_point::max();
+    engine_.set_instances(instances_);
+    if (follower_)
+        follower_->set_instances(
+            instances_, settings_.store_calls_per_second);
+    set_windows();
+}
+
+void gateway::leave()
+{
+    log_.state(
+        gateway_event::shutdown_phase, {{"phase", to_string(shutdown_.phase())}});
+    peers_.leave();
+}
+
+void gateway::drain()
+{
+    log_.state(
+        gateway_event::shutdown_phase, {{"phase", to_string(shutdown_.phase())}});
+    listener_.close_idle();
+}
+
+void gateway::stop(std::size_t cut_off)
+{
+    log_.state(
+        gateway_event::stopped,
+        {{"cut_off", static_cast<std::int64_t>(cut_off)}});
+    log_.flush();
+    loop_.stop();
+}
+
+void gateway::sweep()
+{
+    const auto now = clock_.now();
+    const auto late =
+        sweep_due_ == time_point{} ? duration::zero() : now - sweep_due_;
+    lag_ += (std::max(late, duration::zero()) - lag_) / lag_weight;
+    engine_.on_lag(lag_);
+    listener_.sweep();
+    for (auto& it : apis_)
+        it.sweep();
+    pool_.sweep();
+    registry_.for_each(
+        [this, now](const auto& it)
+        {
+            if (it->probe_due(now))
+                pool_.probe(it);
+        });
+    count_instances();
+    if (shutdown_.phase() == shutdown_phase::draining)
+        shutdown_.on_in_flight(pending_.size() + listener_.busy());
+    log_.flush();
+    sweep_due_ = clock_.now() + sweep_period;
+    sweep_timer_.expires_at(sweep_due_);
+    sweep_timer_.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            if (!ec)
+                sweep();
+        });
+}
+
+void gateway::wake()
+{
+    const auto now = clock_.now();
+    engine_.on_timer();
+    registry_.on_timer();
+    if (follower_)
+        follower_->on_timer();
+    if (shutdown_.next_wakeup() <= now)
+        shutdown_.on_timer();
+    set_timer();
+}
+
+void gateway::set_timer()
+{
+    auto due = std::min(engine_.next_wakeup(), registry_.next_wakeup());
+    due = std::min(due, shutdown_.next_wakeup());
+    if (follower_)
+        due = std::min(due, follower_->next_wakeup());
+    if (due != time_point::max())
+        timer_.set(due);
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_gateway/gateway/local_api.cpp
@@ -0,0 +1,51 @@
+#include "local_api.h"
+
+namespace turmericlane
+{
+
+local_api::local_api(event_context& loop, const clock& time, function answer)
+    : answer_(std::move(answer))
+    , listener_(loop, *this, time)
+{
+}
+
+std::optional<std::string>
+local_api::listen(const std::string& address, std::uint16_t port)
+{
+    return listener_.listen(address, port);
+}
+
+void local_api::sweep()
+{
+    listener_.sweep();
+}
+
+void local_api::on_request(
+    const std::shared_ptr<caller_session>& from, caller_request&& request)
+{
+    const auto made = answer_(request);
+    std::string fields;
+    if (!made.content_type.empty())
+        append_field(fields, "Content-Type", made.content_type);
+    from->respond(made.status, fields, made.body);
+}
+
+void local_api::on_caller_left(caller_session&)
+{
+}
+
+void local_api::on_bad_request(unsigned)
+{
+}
+
+const caller_limits& local_api::limits() const
+{
+    return limits_;
+}
+
+bool local_api::closing() const
+{
+    return false;
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_gateway/http/http_listener.cpp
@@ -0,0 +1,97 @@
+#include "http_listener.h"
+
+namespace turmericlane
+{
+
+namespace
+{
+
+/** Connections that wait to be accepted, at most. */
+constexpr int backlog = 1024;
+/** Pause after a failed accept, which mostly means that no descriptor is
+    free. */
+constexpr auto accept_retry = std::chrono::milliseconds(50);
+
+} // namespace
+
+http_listener::http_listener(
+    event_context& loop, session_handler& handler, const clock& time)
+    : loop_(loop)
+    , handler_(handler)
+    , clock_(time)
+    , acceptor_(loop.get_executor())
+    , retry_(loop.get_executor())
+{
+}
+
+std::optional<std::string>
+http_listener::listen(const std::string& address, std::uint16_t port)
+{
+    boost::system::error_code ec;
+    const auto ip = boost::asio::ip::make_address(address, ec);
+    if (!ec)
+        acceptor_.open(ip.is_v6() ? tcp::v6() : tcp::v4(), ec);
+    if (!ec)
+        acceptor_.set_option(tcp_acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor_.bind(tcp::endpoint(ip, port), ec);
+    if (!ec)
+        acceptor_.listen(backlog, ec);
+    if (ec)
+        return address + ":" + std::to_string(port) + ": " + ec.message();
+    accept();
+    return std::nullopt;
+}
+
+void http_listener::stop()
+{
+    boost::system::error_code ec;
+    acceptor_.close(ec);
+}
+
+void http_listener::sweep()
+{
+    std::erase_if(sessions_, [](const auto& it) { return !it->sweep(); });
+}
+
+void http_listener::close_idle()
+{
+    for (const auto& it : sessions_)
+        it->close_if_idle();
+}
+
+std::size_t http_listener::busy() const
+{
+    std::size_t n = 0;
+    for (const auto& it : sessions_)
+        n += it->busy() ? 1 : 0;
+    return n;
+}
+
+void http_listener::accept()
+{
+    acceptor_.async_accept(
+        [this](boost::system::error_code ec, tcp_socket socket)
+        {
+            if (!acceptor_.is_open())
+                return;
+            if (ec)
+            {
+                retry_.expires_after(accept_retry);
+                retry_.async_wait(
+                    [this](boost::system::error_code stopped)
+                    {
+                        if (!stopped && acceptor_.is_open())
+                            accept();
+                    });
+                return;
+            }
+            auto made = std::make_shared<caller_session>(
+                std::move(socket), handler_, clock_);
+            sessions_.push_back(made);
+            made->start();
+            accept();
+        });
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_gateway/peers/peer_channel.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "../loop/event_loop.h"
+#include "../loop/wakeup_timer.h"
+
+#include <turmericlane_state/turmericlane_state.h>
+#include <turmericlane_wire/turmericlane_wire.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace turmericlane
+{
+
+/** Receives what a peer_channel learns. */
+class peer_listener
+{
+public:
+    virtual ~peer_listener() = default;
+
+    /** A member was learned or its state changed. */
+    virtual void member_changed(const member& value) = 0;
+
+    /** A peer has a configuration version in force. */
+    virtual void peer_version(std::uint64_t version) = 0;
+
+    /** The process was stopped for that time. */
+    virtual void process_paused(duration gap) = 0;
+};
+
+/** Carries the messages of a membership_table in datagrams between instances,
+    each with the sender's configuration version.
+
+    A datagram that cannot be read is dropped and counted; the table notices
+    missing answers itself.
+
+    @see membership_table
+*/
+class peer_channel : private membership_actions
+{
+public:
+    /** @param self      this process
+        @param seed      seed of the membership table
+        @param listener  must outlive the channel */
+    peer_channel(
+        event_context& loop,
+        const clock& time,
+        const member& self,
+        std::uint64_t seed,
+        peer_listener& listener);
+
+    /** Binds the socket and starts the heartbeats.
+        @returns nothing on success, otherwise the reason */
+    std::optional<std::string> start();
+
+    /** Instances that may exist; they are contacted. */
+    void set_seeds(std::span<const listed_instance> seeds);
+
+    /** Version that goes with each datagram. */
+    void set_version(std::uint64_t version) noexcept
+    {
+        version_ = version;
+    }
+
+    /** Tells some peers at once that this instance leaves. */
+    void leave();
+
+    /** The members. */
+    const membership_table& table() const noexcept
+    {
+        return table_;
+    }
+
+    /** Datagrams that could not be read. */
+    std::uint64_t malformed() const noexcept
+    {
+        return malformed_;
+    }
+
+private:
+    void send(const endpoint& to, const membership_message& message) override;
+    void changed(const member& value) override;
+    void paused(duration gap) override;
+
+    void receive();
+    void take(std::size_t size);
+    void on_timer();
+
+    const clock& clock_;
+    peer_listener& listener_;
+    udp_socket socket_;
+    member self_;
+    message_encoder encoder_;
+    membership_table table_;
+    wakeup_timer timer_;
+    std::uint64_t version_ = 0;
+    std::uint64_t malformed_ = 0;
+    /** Payloads are read in place and need this alignment. */
+    alignas(8) std::array<std::uint8_t, 65'536> incoming_{};
+};
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_gateway/turmericlane_gateway.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/** @file
+    Module gateway: one event loop that carries whole HTTP requests between
+    callers and searchers, tells callers which addresses to use, keeps in touch
+    with the other instances, and follows a store of configuration and searchers.
+
+    Dependencies: core, forwarding, metrics, state, wire, Boost.
+    It must not know the names and formats of any platform; an adapter hands
+    them in as protocol_names and as decoded values.
+*/
+
+#include "gateway/gateway.h"
+#include "http/client_connection.h"
+#include "http/protocol_names.h"
+#include "log/json_log.h"
+#include "store/store_follower.h"
--- a/modules/turmericlane_metrics/registry/metrics_registry.cpp
+++ b/modules/turmericlane_metrics/registry/metrics_registry.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::string_view kind_names[] = {"counter", "gauge", "histogram"};
 
-bool is_valid_name(std::string_view name)
+[[maybe_unused]] bool is_valid_name(std::string_view name)
 {
     constexpr std::string_view first =
         "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_";
--- a/modules/turmericlane_settings/options/endpoint_list_setting.cpp
+++ b/modules/turmericlane_settings/options/endpoint_list_setting.cpp
@@ -40,7 +40,11 @@
 {
     std::string list;
     for (const auto& it : value_)
-        list += (list.empty() ? "" : ",") + it.to_string();
+    {
+        if (!list.empty())
+            list += ',';
+        list += it.to_string();
+    }
     return list;
 }
 
--- a/modules/turmericlane_settings/options/setting.cpp
+++ b/modules/turmericlane_settings/options/setting.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-bool is_flag_name(std::string_view name)
+[[maybe_unused]] bool is_flag_name(std::string_view name)
 {
     if (name.empty() || name.front() == '-' || name.back() == '-')
         return false;
--- a/modules/turmericlane_settings/parser/settings.cpp
+++ b/modules/turmericlane_settings/parser/settings.cpp
@@ -65,7 +65,7 @@
 
 void settings::take(std::unique_ptr<setting> added)
 {
-    const auto& name = added->description().name;
+    [[maybe_unused]] const auto& name = added->description().name;
     assert(name != "help");
     assert(std::none_of(
         entries_.begin(), entries_.end(),
--- a/modules/turmericlane_state/booking/booking_coordinator.cpp
+++ b/modules/turmericlane_state/booking/booking_coordinator.cpp
@@ -260,7 +260,7 @@
     }
 
     void repeat(
-        std::uint64_t serial,
+        [[maybe_unused]] std::uint64_t serial,
         record& known,
         const requester& who,
         const booking_request& request)
