--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -127,6 +127,7 @@
         target.on_shed(now);
         break;
     case attempt_outcome::misdirected:
+        target.remove();
         break;
     default:
         target.on_failure(now);
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -422,6 +422,8 @@
     attempt_outcome how)
 {
     metrics_.on_attempt_failed(how);
+    if (how == attempt_outcome::misdirected)
+        registry_.on_misdirected(target.entry().id);
     log_.detail(
         gateway_event::attempt_failed,
         {{"request", request.label},
