Let three instances read the store and pass changes to the others

Change: store_follower and item_table in module state share the items between instances: the first three by nonce read and push, heartbeats carry revision and age, one that is behind pulls, one whose state is too old reads itself.

--- a/modules/turmericlane_forwarding/admission/admission_control.cpp
+++ b/modules/turmericlane_forwarding/admission/admission_control.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-duration admission_control::refuse_for(
-    const route& of, const instance_load& load) const
+duration
+admission_control::refuse_for(const route& of, const instance_load& load) const
 {
     auto share = urgent_wait_share;
     for (std::uint32_t i = 0; i < of.rank; ++i)
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -48,8 +48,8 @@
     answer_limits made;
     made.min_coverage = how.min_coverage;
     made.give_up_after = std::min(patience, how.timeout);
-    made.answer_within = std::min(
-        made.give_up_after, how.target - reply_margin(how.target));
+    made.answer_within =
+        std::min(made.give_up_after, how.target - reply_margin(how.target));
     return made;
 }
 
@@ -199,9 +199,8 @@
 {
     const auto& how = *request.how;
     forward_result made;
-    const auto needed = how.is_gathered()
-                            ? how.min_coverage * how.shards.size() - 1e-9
-                            : 1.0;
+    const auto needed =
+        how.is_gathered() ? how.min_coverage * how.shards.size() - 1e-9 : 1.0;
     const auto usable = how.is_gathered()
                             ? usable_shards(how)
                             : !searchers_.of_service(*service).empty();
--- a/modules/turmericlane_forwarding/gather/answer_rule.cpp
+++ b/modules/turmericlane_forwarding/gather/answer_rule.cpp
@@ -19,15 +19,13 @@
 {
     if (parts == 0)
         return false;
-    const auto share =
-        static_cast<double>(parts) / static_cast<double>(shards);
+    const auto share = static_cast<double>(parts) / static_cast<double>(shards);
     return share + rounding >= least;
 }
 
 duration late_answer(const answer_limits& limits)
 {
-    return std::min(
-        limits.answer_within * late_multiple, limits.give_up_after);
+    return std::min(limits.answer_within * late_multiple, limits.give_up_after);
 }
 
 } // namespace
@@ -46,9 +44,9 @@
         return enough ? gather_decision::answer : gather_decision::fail;
     if (!enough)
         return gather_decision::wait;
-    const auto in_time = progress.elapsed >= limits.answer_within &&
-                         progress.elapsed < limits.answer_within +
-                                                limits.answer_within / 8;
+    const auto in_time =
+        progress.elapsed >= limits.answer_within &&
+        progress.elapsed < limits.answer_within + limits.answer_within / 8;
     if (in_time || progress.elapsed >= late_answer(limits))
         return gather_decision::answer;
     return gather_decision::wait;
--- a/modules/turmericlane_forwarding/gather/record_merge.cpp
+++ b/modules/turmericlane_forwarding/gather/record_merge.cpp
@@ -19,8 +19,7 @@
     const auto wanted = std::min(count, records.size());
     const auto end = records.begin() + static_cast<std::ptrdiff_t>(wanted);
     // Comparing string_views of char compares the bytes as unsigned values.
-    std::partial_sort(
-        records.begin(), end, records.end(), std::greater<>());
+    std::partial_sort(records.begin(), end, records.end(), std::greater<>());
     std::string merged;
     merged.reserve(wanted * record_bytes);
     for (auto it = records.begin(); it != end; ++it)
--- a/modules/turmericlane_forwarding/searchers/searcher.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher.cpp
@@ -90,8 +90,8 @@
         return;
     const auto sample =
         std::min(seconds(took) / seconds(usual), max_slowness_sample);
-    slowness_ = slowness(now) * (1.0 - slowness_weight) +
-                sample * slowness_weight;
+    slowness_ =
+        slowness(now) * (1.0 - slowness_weight) + sample * slowness_weight;
     slowness_at_ = now;
 }
 
@@ -147,8 +147,7 @@
     const auto own = static_cast<double>(in_flight_) / slots;
     if (now - load_at_ > load_lifetime)
         return own;
-    const auto reported =
-        load_ + static_cast<double>(sent_since_load_) / slots;
+    const auto reported = load_ + static_cast<double>(sent_since_load_) / slots;
     return std::max(own, reported);
 }
 
--- a/modules/turmericlane_forwarding/searchers/searcher_registry.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.cpp
@@ -1,7 +1,6 @@
 #include "searcher_registry.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace turmericlane
 {
@@ -52,7 +51,7 @@
 {
     if (!by_id_.contains(id))
         return;
-    if (!keeps_lapsed())
+    if (clock_.now() >= removals_from_)
     {
         remove(id, "removed");
         return;
@@ -61,34 +60,9 @@
         lapsed_.push_back(id);
 }
 
-void searcher_registry::on_listing(std::span<const searcher_entry> entries)
+void searcher_registry::put_off_removals(time_point until)
 {
-    std::unordered_set<std::string_view> present;
-    for (const auto& it : entries)
-        present.insert(it.id);
-    std::vector<std::string> missing;
-    for (const auto& [id, which] : by_id_)
-    {
-        if (!present.contains(id))
-            missing.push_back(id);
-    }
-    for (const auto& it : missing)
-        on_removed(it);
-    for (const auto& it : entries)
-        on_entry(it);
-}
-
-void searcher_registry::on_store_lost()
-{
-    store_lost_ = true;
-}
-
-void searcher_registry::on_store_returned()
-{
-    if (!store_lost_)
-        return;
-    store_lost_ = false;
-    store_returned_ = clock_.now();
+    removals_from_ = std::max(removals_from_, until);
 }
 
 void searcher_registry::on_misdirected(const std::string& id)
@@ -108,9 +82,7 @@
 
 time_point searcher_registry::next_wakeup() const
 {
-    if (lapsed_.empty() || store_lost_)
-        return time_point::max();
-    return store_returned_ + lapsed_entry_grace;
+    return lapsed_.empty() ? time_point::max() : removals_from_;
 }
 
 std::span<const std::shared_ptr<searcher>>
@@ -129,12 +101,6 @@
         call(which);
 }
 
-bool searcher_registry::keeps_lapsed() const
-{
-    return store_lost_ ||
-           clock_.now() < store_returned_ + lapsed_entry_grace;
-}
-
 void searcher_registry::remove(const std::string& id, std::string_view why)
 {
     const auto found = by_id_.find(id);
--- a/modules/turmericlane_forwarding/searchers/searcher_registry.h
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.h
@@ -31,10 +31,10 @@
 
 /** The searchers that are believed to exist, by id and by service.
 
-    Entries come from a store that may be away. An entry that lapses while the
-    store is away is kept for a short time after its return, in which a living
-    searcher publishes itself again; one that is missing after that is gone.
-    With the store in reach a removal counts at once.
+    Entries come from a store that may be away. Entries lapse meanwhile, and a
+    living searcher publishes itself again soon after the store's return: until
+    then, removals are put off. With the store in reach a removal counts at
+    once.
 
     Decision code; one thread uses it.
 
@@ -43,9 +43,6 @@
 class searcher_registry
 {
 public:
-    /** How long after the store's return a missing entry is kept. */
-    static constexpr auto lapsed_entry_grace = std::chrono::milliseconds(2200);
-
     /** @param time      clock; must outlive the registry
         @param listener  is told of changes; must outlive the registry */
     searcher_registry(const clock& time, searcher_listener& listener);
@@ -56,14 +53,9 @@
     /** An entry was removed, or does not describe a searcher any more. */
     void on_removed(const std::string& id);
 
-    /** All entries were read; those missing are removed. */
-    void on_listing(std::span<const searcher_entry> entries);
-
-    /** The store cannot be reached. */
-    void on_store_lost();
-
-    /** The store answers again. */
-    void on_store_returned();
+    /** Removals that arrive until then take effect only then, unless the entry
+        is written again. */
+    void put_off_removals(time_point until);
 
     /** The address of a searcher is served by another one. */
     void on_misdirected(const std::string& id);
@@ -79,9 +71,8 @@
     of_service(const std::string& service) const;
 
     /** Calls a function for each searcher. */
-    void for_each(
-        const std::function<void(const std::shared_ptr<searcher>&)>& call)
-        const;
+    void for_each(const std::function<void(const std::shared_ptr<searcher>&)>&
+                      call) const;
 
     /** Searchers known, leaving ones included. */
     std::size_t size() const noexcept
@@ -90,7 +81,6 @@
     }
 
 private:
-    bool keeps_lapsed() const;
     void remove(const std::string& id, std::string_view why);
     void enlist(const std::shared_ptr<searcher>& which);
     void delist(const std::shared_ptr<searcher>& which, std::string_view why);
@@ -100,9 +90,8 @@
     std::unordered_map<std::string, std::shared_ptr<searcher>> by_id_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<searcher>>>
         by_service_;
-    bool store_lost_ = false;
-    time_point store_returned_{};
-    /** Ids whose entries lapsed, to be removed at the end of the grace. */
+    time_point removals_from_{};
+    /** Ids whose removal is put off. */
     std::vector<std::string> lapsed_;
 };
 
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <charconv>
 
 namespace turmericlane
 {
@@ -77,6 +78,7 @@
           *this)
     , peers_(loop, time, self_of(settings_), settings_.nonce, *this)
     , listener_(loop, *this, time)
+    , puller_(loop, *this)
     , shutdown_(limits_of(settings_), time, *this)
     , timer_(loop, [this] { wake(); })
     , sweep_timer_(loop.get_executor())
@@ -94,6 +96,11 @@
         return why;
     if (auto why = peers_.start())
         return why;
+    if (auto why = serve(
+            settings_.where.address, settings_.where.peer_port,
+            [this](const caller_request& request)
+            { return answer_peer(request); }))
+        return why;
     sweep();
     return std::nullopt;
 }
@@ -105,11 +112,11 @@
     return apis_.back().listen(address, port);
 }
 
-void gateway::follow(store_reader& reader)
+void gateway::follow(store_reader& reader, store_decoder& decoder)
 {
+    decoder_ = &decoder;
     follower_ = std::make_unique<store_follower>(
         clock_, reader, static_cast<store_listener&>(*this), settings_.nonce);
-    follower_->set_instances(instances_, settings_.store_calls_per_second);
     follower_->start();
     set_timer();
 }
@@ -127,7 +134,7 @@
 
 bool gateway::ready() const
 {
-    return routes_ && follower_ && follower_->listed() &&
+    return routes_ && follower_ && follower_->complete() &&
            shutdown_.phase() == shutdown_phase::serving;
 }
 
@@ -167,9 +174,7 @@
     metrics_.log_lines_dropped.set(static_cast<double>(log_.dropped()));
     if (follower_)
         metrics_.store_age_seconds.set(
-            std::chrono::duration<double>(
-                clock_.now() - follower_->last_answer())
-                .count());
+            std::chrono::duration<double>(follower_->age()).count());
     return metrics_.text();
 }
 
@@ -185,39 +190,63 @@
     set_timer();
 }
 
-void gateway::store_changed(store_change&& change)
+void gateway::item_changed(const store_item& item)
 {
-    if (auto* configuration = std::get_if<route_configuration>(&change))
+    auto change = decoder_->decode(item);
+    if (!change)
+        return;
+    if (auto* configuration = std::get_if<route_configuration>(&*change))
         take_configuration(std::move(*configuration));
-    else if (const auto* entry = std::get_if<searcher_entry>(&change))
+    else if (const auto* entry = std::get_if<searcher_entry>(&*change))
         registry_.on_entry(*entry);
-    else if (const auto* gone = std::get_if<searcher_removal>(&change))
+    else if (const auto* gone = std::get_if<searcher_removal>(&*change))
         registry_.on_removed(gone->id);
-    set_timer();
 }
 
-void gateway::store_listed(std::span<const searcher_entry> searchers)
+void gateway::store_complete()
 {
-    registry_.on_listing(searchers);
     log_.state(
-        gateway_event::store_listed,
-        {{"searchers", static_cast<std::int64_t>(searchers.size())}});
-    set_timer();
+        gateway_event::store_complete,
+        {{"searchers", static_cast<std::int64_t>(registry_.size())},
+         {"revision", static_cast<std::int64_t>(follower_->through())}});
 }
 
 void gateway::store_lost(store_failure why)
 {
-    registry_.on_store_lost();
     log_.state(
         gateway_event::store_lost,
-        {{"why", to_string(why)},
-         {"age_ms", milliseconds(clock_.now() - follower_->last_answer())}});
+        {{"why", to_string(why)}, {"age_ms", milliseconds(follower_->age())}});
 }
 
 void gateway::store_returned()
 {
-    registry_.on_store_returned();
     log_.state(gateway_event::store_returned, {});
+}
+
+void gateway::store_settling(time_point until)
+{
+    registry_.put_off_removals(until);
+}
+
+void gateway::push(const feed_message& changes)
+{
+    peers_.push(changes);
+}
+
+void gateway::pull(const endpoint& peer, std::uint64_t after)
+{
+    puller_.pull(peer, after);
+}
+
+void gateway::pulled(const feed_message& message)
+{
+    follower_->on_feed(message);
+    set_timer();
+}
+
+void gateway::pull_failed()
+{
+    follower_->on_pull_failed();
     set_timer();
 }
 
@@ -229,7 +258,7 @@
         refuse(*from, 503, duration::zero());
         return;
     }
-    if (!routes_ || !follower_->listed())
+    if (!routes_ || !follower_->complete())
     {
         refuse(*from, 503, starting_retry_after);
         return;
@@ -275,8 +304,7 @@
         gateway_event::request_abandoned,
         {{"request", found->second.text.id},
          {"route", found->second.route_name},
-         {"after_ms",
-          milliseconds(clock_.now() - found->second.arrived)}});
+         {"after_ms", milliseconds(clock_.now() - found->second.arrived)}});
     pending_.erase(found);
     engine_.on_caller_left(from.request_number);
 }
@@ -337,8 +365,8 @@
     // The answer may let the session start its next request, which must not
     // happen inside the engine.
     boost::asio::post(
-        loop_, [this, ended, made = std::move(result)]
-        { answer(ended, made); });
+        loop_,
+        [this, ended, made = std::move(result)] { answer(ended, made); });
 }
 
 void gateway::answer(const pending_request& to, const forward_result& result)
@@ -399,8 +427,7 @@
                {"retry_after_ms", milliseconds(result.retry_after)},
                {"lag_ms", milliseconds(lag_)},
                {"version",
-                static_cast<std::int64_t>(
-                    routes_->configuration().version)}});
+                static_cast<std::int64_t>(routes_->configuration().version)}});
 }
 
 void gateway::repeated(
@@ -411,15 +438,11 @@
         return;
     log_.detail(
         gateway_event::attempt_repeated,
-        {{"request", request.label},
-         {"service", service},
-         {"hedge", hedge}});
+        {{"request", request.label}, {"service", service}, {"hedge", hedge}});
 }
 
 void gateway::attempt_failed(
-    const forward_request& request,
-    const searcher& target,
-    attempt_outcome how)
+    const forward_request& request, const searcher& target, attempt_outcome how)
 {
     metrics_.on_attempt_failed(how);
     if (how == attempt_outcome::misdirected)
@@ -476,17 +499,14 @@
         if (configuration.version < present)
             log_.state(
                 gateway_event::configuration_ignored,
-                {{"version",
-                  static_cast<std::int64_t>(configuration.version)},
+                {{"version", static_cast<std::int64_t>(configuration.version)},
                  {"in_force", static_cast<std::int64_t>(present)}});
         return;
     }
     constexpr std::uint64_t phases = 101;
-    const auto phase =
-        static_cast<double>(settings_.nonce % phases) / phases;
+    const auto phase = static_cast<double>(settings_.nonce % phases) / phases;
     routes_ = std::make_shared<route_table>(std::move(configuration), phase);
     const auto& in_force = routes_->configuration();
-    peers_.set_version(in_force.version);
     log_.state(
         gateway_event::configuration_in_force,
         {{"version", static_cast<std::int64_t>(in_force.version)},
@@ -521,6 +541,7 @@
 
 void gateway::member_changed(const member& value)
 {
+    members_changed_ = true;
     log_.state(
         gateway_event::member_changed,
         {{"address", value.where.address},
@@ -528,20 +549,59 @@
          {"incarnation", static_cast<std::int64_t>(value.incarnation)}});
 }
 
-void gateway::peer_version(std::uint64_t version)
+void gateway::peer_state(const endpoint& peer, const datagram_header& state)
+{
+    if (!follower_)
+        return;
+    follower_->on_peer(peer, state.through, state.age);
+    set_timer();
+}
+
+void gateway::peer_feed(const feed_message& message)
+{
+    if (!follower_)
+        return;
+    follower_->on_feed(message);
+    set_timer();
+}
+
+datagram_header gateway::own_state() const
+{
+    datagram_header made;
+    if (!follower_)
+        return made;
+    made.through = follower_->through();
+    made.age = follower_->age();
+    return made;
+}
+
+api_answer gateway::answer_peer(const caller_request& request)
 {
-    if (follower_ && routes_ && version > routes_->configuration().version)
-        follower_->on_newer_version();
+    if (request.path() != feed_path)
+        return {200, "text/plain; version=0.0.4", metrics_text()};
+    const auto text = request.parameter("after");
+    std::uint64_t after = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [at, ec] = std::from_chars(text.data(), end, after);
+    if (ec != std::errc() || at != end)
+        return {400, {}, {}};
+    if (!follower_ || !follower_->complete())
+        return {503, {}, {}};
+    auto body = peers_.encode_feed(follower_->feed_since(after));
+    if (body.empty())
+        return {503, {}, {}};
+    return {200, "application/octet-stream", std::move(body)};
 }
 
 void gateway::process_paused(duration gap)
 {
-    log_.state(
-        gateway_event::process_paused, {{"gap_ms", milliseconds(gap)}});
+    log_.state(gateway_event::process_paused, {{"gap_ms", milliseconds(gap)}});
 }
 
 void gateway::count_instances()
 {
+    if (members_changed_)
+        set_place();
     const auto now = clock_.now();
     auto seen = static_cast<std::uint32_t>(peers_.table().live_count());
     if (now - started_ < time_to_know_peers)
@@ -563,23 +623,39 @@
     instances_ = std::max(seen, 1U);
     instances_lower_since_ = time_point::max();
     engine_.set_instances(instances_);
-    if (follower_)
-        follower_->set_instances(
-            instances_, settings_.store_calls_per_second);
     set_windows();
 }
 
+void gateway::set_place()
+{
+    if (!follower_)
+        return;
+    members_changed_ = false;
+    std::uint32_t before = 0;
+    std::uint32_t live = 1;
+    for (const auto& it : peers_.table().members())
+    {
+        if (it.state != member_state::live)
+            continue;
+        ++live;
+        before += it.nonce < settings_.nonce ? 1 : 0;
+    }
+    follower_->set_place(before, live, settings_.store_calls_per_second);
+}
+
 void gateway::leave()
 {
     log_.state(
-        gateway_event::shutdown_phase, {{"phase", to_string(shutdown_.phase())}});
+        gateway_event::shutdown_phase,
+        {{"phase", to_string(shutdown_.phase())}});
     peers_.leave();
 }
 
 void gateway::drain()
 {
     log_.state(
-        gateway_event::shutdown_phase, {{"phase", to_string(shutdown_.phase())}});
+        gateway_event::shutdown_phase,
+        {{"phase", to_string(shutdown_.phase())}});
     listener_.close_idle();
 }
 
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "../log/json_log.h"
+#include "../peers/feed_puller.h"
 #include "../peers/peer_channel.h"
 #include "../searchers/searcher_pool.h"
-#include "../store/store_follower.h"
+#include "../store/store_decoder.h"
 #include "gateway_metrics.h"
 #include "gateway_settings.h"
 #include "local_api.h"
@@ -30,16 +31,16 @@
 
     @see forward_engine, store_follower
 */
-class gateway final
-    : public store_call_listener
-    , private store_listener
-    , private session_handler
-    , private forward_actions
-    , private forward_listener
-    , private searcher_listener
-    , private pool_listener
-    , private peer_listener
-    , private shutdown_actions
+class gateway final : public store_call_listener,
+                      private store_listener,
+                      private session_handler,
+                      private forward_actions,
+                      private forward_listener,
+                      private searcher_listener,
+                      private pool_listener,
+                      private peer_listener,
+                      private pull_listener,
+                      private shutdown_actions
 {
 public:
     /** All references must outlive the gateway. */
@@ -63,8 +64,8 @@
         std::uint16_t port,
         local_api::function answer);
 
-    /** Follows a store; the reader must outlive the gateway. */
-    void follow(store_reader& reader);
+    /** Follows a store; both must outlive the gateway. */
+    void follow(store_reader& reader, store_decoder& decoder);
 
     /** Instances that may exist, from the settings. */
     void set_seeds(std::span<const listed_instance> seeds);
@@ -97,10 +98,15 @@
     };
 
     // Store.
-    void store_changed(store_change&& change) override;
-    void store_listed(std::span<const searcher_entry> searchers) override;
+    void item_changed(const store_item& item) override;
+    void store_complete() override;
     void store_lost(store_failure why) override;
     void store_returned() override;
+    void store_settling(time_point until) override;
+    void push(const feed_message& changes) override;
+    void pull(const endpoint& peer, std::uint64_t after) override;
+    void pulled(const feed_message& message) override;
+    void pull_failed() override;
 
     // Callers.
     void on_request(
@@ -122,9 +128,7 @@
     void finish(request_handle request, forward_result&& result) override;
     void answer(const pending_request& to, const forward_result& result);
     void log_result(
-        const pending_request& of,
-        const forward_result& result,
-        duration took);
+        const pending_request& of, const forward_result& result, duration took);
     void repeated(
         const forward_request& request,
         const std::string& service,
@@ -137,12 +141,10 @@
     // Searchers.
     void searcher_added(const std::shared_ptr<searcher>& which) override;
     void searcher_leaving(
-        const std::shared_ptr<searcher>& which,
-        std::string_view why) override;
+        const std::shared_ptr<searcher>& which, std::string_view why) override;
     void
     attempt_ended(attempt_handle attempt, attempt_result&& result) override;
-    void
-    searcher_reachable(const std::shared_ptr<searcher>& which) override;
+    void searcher_reachable(const std::shared_ptr<searcher>& which) override;
     void take_configuration(route_configuration&& configuration);
     void set_window(searcher& of);
     void set_windows();
@@ -150,9 +152,14 @@
 
     // Peers.
     void member_changed(const member& value) override;
-    void peer_version(std::uint64_t version) override;
+    void
+    peer_state(const endpoint& peer, const datagram_header& state) override;
+    void peer_feed(const feed_message& message) override;
+    datagram_header own_state() const override;
+    api_answer answer_peer(const caller_request& request);
     void process_paused(duration gap) override;
     void count_instances();
+    void set_place();
 
     // Shutdown.
     void leave() override;
@@ -175,6 +182,8 @@
     http_listener listener_;
     std::list<local_api> apis_;
     std::unique_ptr<store_follower> follower_;
+    store_decoder* decoder_ = nullptr;
+    feed_puller puller_;
     shutdown_sequence shutdown_;
     wakeup_timer timer_;
     loop_timer sweep_timer_;
@@ -184,6 +193,7 @@
     std::unordered_map<request_handle, pending_request> pending_;
     request_handle last_request_ = 0;
     std::uint32_t instances_ = 0;
+    bool members_changed_ = true;
     time_point instances_lower_since_ = time_point::max();
     std::uint64_t rotation_ = 0;
     std::uint64_t samples_ = 0;
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -17,8 +17,8 @@
           "Configuration version in force; 0 for none."))
     , instances(registry->gauge_of(
           "turmericlane_instances", "Live instances, this one included."))
-    , searchers(registry->gauge_of(
-          "turmericlane_searchers", "Searchers known."))
+    , searchers(
+          registry->gauge_of("turmericlane_searchers", "Searchers known."))
     , connections(registry->gauge_of(
           "turmericlane_searcher_connections", "Connections to searchers."))
     , connections_opened(registry->gauge_of(
@@ -53,8 +53,7 @@
     registry_
         ->histogram_of(
             "turmericlane_request_microseconds",
-            "Time from a request's arrival to its answer.",
-            {{"result", kind}})
+            "Time from a request's arrival to its answer.", {{"result", kind}})
         .record(took);
 }
 
--- a/modules/turmericlane_gateway/gateway/local_api.cpp
+++ b/modules/turmericlane_gateway/gateway/local_api.cpp
@@ -30,13 +30,9 @@
     from->respond(made.status, fields, made.body);
 }
 
-void local_api::on_caller_left(caller_session&)
-{
-}
+void local_api::on_caller_left(caller_session&) {}
 
-void local_api::on_bad_request(unsigned)
-{
-}
+void local_api::on_bad_request(unsigned) {}
 
 const caller_limits& local_api::limits() const
 {
--- a/modules/turmericlane_gateway/gateway/request_text.cpp
+++ b/modules/turmericlane_gateway/gateway/request_text.cpp
@@ -17,8 +17,7 @@
 
 bool same_name(std::string_view a, std::string_view b)
 {
-    return boost::beast::iequals(
-        {a.data(), a.size()}, {b.data(), b.size()});
+    return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
 
 bool is_named_by_connection(
@@ -53,8 +52,7 @@
             same_name(name, names.expected_searcher) ||
             is_named_by_connection(request.fields, name))
             continue;
-        append_field(
-            made.head, name, {it.value().data(), it.value().size()});
+        append_field(made.head, name, {it.value().data(), it.value().size()});
     }
     const auto has_body =
         !request.body.empty() ||
--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -66,8 +66,7 @@
     if (last)
         append_field(outgoing_, "Connection", "close");
     if (status != 204 && status != 304)
-        append_field(
-            outgoing_, "Content-Length", std::to_string(body.size()));
+        append_field(outgoing_, "Content-Length", std::to_string(body.size()));
     outgoing_.append("\r\n");
     if (!head_ && status != 204 && status != 304)
         outgoing_.append(body);
--- a/modules/turmericlane_gateway/http/client_connection.cpp
+++ b/modules/turmericlane_gateway/http/client_connection.cpp
@@ -131,8 +131,7 @@
             }
             self->socket_.non_blocking(true, ec);
             const auto n =
-                self->socket_.read_some(
-                boost::asio::buffer(read_buffer()), ec);
+                self->socket_.read_some(boost::asio::buffer(read_buffer()), ec);
             if (ec == boost::asio::error::would_block)
             {
                 self->read();
@@ -219,8 +218,7 @@
     made.status = message.result_int();
     // Neither the rest of an unread request nor a second answer may meet the
     // next request.
-    made.keep_alive =
-        message.keep_alive() && !writing_ && incoming_.empty();
+    made.keep_alive = message.keep_alive() && !writing_ && incoming_.empty();
     made.body = std::move(message.body());
     made.fields = std::move(static_cast<boost::beast::http::fields&>(message));
     parser_.reset();
--- a/modules/turmericlane_gateway/http/client_connection.h
+++ b/modules/turmericlane_gateway/http/client_connection.h
@@ -51,8 +51,7 @@
 
     @see client_listener
 */
-class client_connection
-    : public std::enable_shared_from_this<client_connection>
+class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
     /** @param loop      event loop
--- a/modules/turmericlane_gateway/http/http_message.cpp
+++ b/modules/turmericlane_gateway/http/http_message.cpp
@@ -67,9 +67,8 @@
 
 std::string_view reason_phrase(unsigned status)
 {
-    return view(
-        boost::beast::http::obsolete_reason(
-            boost::beast::http::int_to_status(status)));
+    return view(boost::beast::http::obsolete_reason(
+        boost::beast::http::int_to_status(status)));
 }
 
 void append_field(
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -35,7 +35,7 @@
     {gateway_event::configuration_ignored, "configuration_ignored"},
     {gateway_event::store_lost, "store_lost"},
     {gateway_event::store_returned, "store_returned"},
-    {gateway_event::store_listed, "store_listed"},
+    {gateway_event::store_complete, "store_complete"},
     {gateway_event::entry_ignored, "entry_ignored"},
     {gateway_event::searcher_added, "searcher_added"},
     {gateway_event::searcher_leaving, "searcher_leaving"},
@@ -140,8 +140,8 @@
         std::visit(
             [&](const auto& value) { line[std::string(it.key)] = value; },
             it.value);
-    buffer_ += line.dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    buffer_ +=
+        line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     buffer_ += '\n';
 }
 
@@ -150,8 +150,7 @@
     const auto now = clock_.now();
     const auto span = std::chrono::duration<double>(now - refilled_).count();
     refilled_ = now;
-    tokens_ =
-        std::min(detail_burst, tokens_ + span * detail_lines_per_second);
+    tokens_ = std::min(detail_burst, tokens_ + span * detail_lines_per_second);
 }
 
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -29,7 +29,7 @@
     configuration_ignored = 6102,
     store_lost = 6103,
     store_returned = 6104,
-    store_listed = 6105,
+    store_complete = 6105,
     entry_ignored = 6106,
     searcher_added = 6201,
     searcher_leaving = 6202,
@@ -72,8 +72,7 @@
 
     /** Writes a line about a single request or attempt; these are the ones that
         the bound on the rate drops. */
-    void
-    detail(gateway_event what, std::initializer_list<log_field> fields);
+    void detail(gateway_event what, std::initializer_list<log_field> fields);
 
     /** Writes a line about the state of the instance. */
     void state(gateway_event what, std::initializer_list<log_field> fields);
--- /dev/null
+++ b/modules/turmericlane_gateway/peers/feed_puller.cpp
@@ -0,0 +1,93 @@
+#include "feed_puller.h"
+
+#include <cassert>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+/** A peer answers from memory; a longer wait means that it is gone. */
+constexpr auto pull_time = std::chrono::milliseconds(700);
+
+constexpr unsigned ok_status = 200;
+
+} // namespace
+
+feed_puller::feed_puller(event_context& loop, pull_listener& listener)
+    : loop_(loop)
+    , listener_(listener)
+    , timer_(loop.get_executor())
+{
+}
+
+feed_puller::~feed_puller()
+{
+    drop();
+}
+
+void feed_puller::pull(const endpoint& peer, std::uint64_t after)
+{
+    assert(!connection_);
+    text_ = "GET " + std::string(feed_path) +
+            "?after=" + std::to_string(after) + " HTTP/1.1\r\n";
+    append_field(text_, "Host", peer.address);
+    append_field(text_, "Connection", "close");
+    text_ += "\r\n";
+    timer_.expires_after(pull_time);
+    timer_.async_wait(
+        [this](boost::system::error_code ec)
+        {
+            if (!ec)
+                fail();
+        });
+    connection_ = std::make_shared<client_connection>(
+        loop_, static_cast<client_listener&>(*this));
+    connection_->open(peer.address, peer.peer_port);
+}
+
+void feed_puller::fail()
+{
+    if (!connection_)
+        return;
+    drop();
+    listener_.pull_failed();
+}
+
+void feed_puller::drop()
+{
+    timer_.cancel();
+    if (connection_)
+        connection_->close();
+    connection_.reset();
+}
+
+void feed_puller::on_open(client_connection& from)
+{
+    from.send(std::move(text_), true);
+}
+
+void feed_puller::on_response(client_connection&, server_response&& response)
+{
+    const auto body = std::move(response.body);
+    const std::span<const std::uint8_t> payload(
+        reinterpret_cast<const std::uint8_t*>(body.data()), body.size());
+    const auto message = response.status == ok_status
+                             ? decode_message<feed_message>(payload)
+                             : std::nullopt;
+    if (!message)
+    {
+        fail();
+        return;
+    }
+    drop();
+    listener_.pulled(message->body);
+}
+
+void feed_puller::on_end(client_connection&, connection_end)
+{
+    fail();
+}
+
+} // namespace turmericlane
--- a/modules/turmericlane_gateway/peers/peer_channel.cpp
+++ b/modules/turmericlane_gateway/peers/peer_channel.cpp
@@ -1,9 +1,5 @@
 #include "peer_channel.h"
 
-#include <boost/endian/conversion.hpp>
-
-#include <cstring>
-
 namespace turmericlane
 {
 
@@ -12,9 +8,10 @@
 
 using namespace std::chrono_literals;
 
-/** Datagrams begin with this mark, which changes with their format. */
-constexpr std::uint64_t datagram_mark = 0x746c2d7065657231ULL;
-constexpr std::size_t mark_bytes = sizeof(datagram_mark);
+/** Larger payloads would be split on the way, and lost more often. */
+constexpr std::size_t max_push_bytes = 1300;
+/** Peers to which changes are pushed; the others hear of them by heartbeats. */
+constexpr std::size_t max_push_peers = 100;
 
 /** Instances stop without notice and callers keep addresses for seconds, so
     that a lost one is found within about two. */
@@ -85,23 +82,59 @@
     }
 }
 
+void peer_channel::push(const feed_message& changes)
+{
+    auto encoded = encoder_.encode(header(), changes);
+    if (encoded.payload.size() > max_push_bytes)
+    {
+        feed_message notice = changes;
+        notice.items.clear();
+        notice.from = notice.through;
+        encoded = encoder_.encode(header(), notice);
+    }
+    for (const auto& it : table_.sample(max_push_peers))
+        send_datagram(it.where, datagram_kind::feed, encoded.payload);
+}
+
+std::string peer_channel::encode_feed(const feed_message& message)
+{
+    const auto encoded = encoder_.encode(header(), message);
+    return {
+        reinterpret_cast<const char*>(encoded.payload.data()),
+        encoded.payload.size()};
+}
+
 void peer_channel::send(const endpoint& to, const membership_message& message)
+{
+    const auto encoded = encoder_.encode(header(), message);
+    send_datagram(to, datagram_kind::membership, encoded.payload);
+}
+
+void peer_channel::send_datagram(
+    const endpoint& to,
+    datagram_kind kind,
+    std::span<const std::uint8_t> payload)
 {
     boost::system::error_code ec;
     const auto ip = boost::asio::ip::make_address(to.address, ec);
     if (ec)
         return;
-    const message_header header{self_.nonce, self_.index, version_};
-    const auto encoded = encoder_.encode(header, message);
-    auto mark = datagram_mark;
-    boost::endian::native_to_little_inplace(mark);
+    auto head = listener_.own_state();
+    head.kind = kind;
+    head.port = self_.where.peer_port;
+    const auto buf = encode(head);
     const std::array<boost::asio::const_buffer, 2> parts = {
-        boost::asio::buffer(&mark, mark_bytes),
-        boost::asio::buffer(encoded.payload.data(), encoded.payload.size())};
-    // A datagram that can't be sent is one that got lost: the table repeats.
+        boost::asio::buffer(buf),
+        boost::asio::buffer(payload.data(), payload.size())};
+    // A datagram that can't be sent is one that got lost: senders repeat.
     socket_.send_to(parts, udp::endpoint(ip, to.peer_port), 0, ec);
 }
 
+message_header peer_channel::header() const
+{
+    return {self_.nonce, self_.index, 0};
+}
+
 void peer_channel::changed(const member& value)
 {
     listener_.member_changed(value);
@@ -127,33 +160,35 @@
                     boost::asio::buffer(incoming_), from, 0, ec);
                 if (ec)
                     break;
-                take(n);
+                take(n, from);
             }
             timer_.set(table_.next_wakeup());
             receive();
         });
 }
 
-void peer_channel::take(std::size_t size)
+void peer_channel::take(std::size_t size, const udp::endpoint& from)
 {
-    std::uint64_t mark = 0;
-    if (size > mark_bytes)
-        std::memcpy(&mark, incoming_.data(), mark_bytes);
-    boost::endian::little_to_native_inplace(mark);
-    if (mark != datagram_mark)
+    const auto bytes = std::span(incoming_).first(size);
+    const auto head = decode_datagram_header(bytes);
+    if (!head)
     {
         ++malformed_;
         return;
     }
-    const auto message = decode_message<membership_message>(
-        std::span(incoming_).subspan(mark_bytes, size - mark_bytes));
-    if (!message)
+    const auto payload = bytes.subspan(datagram_header_bytes);
+    if (head->kind == datagram_kind::feed)
     {
-        ++malformed_;
-        return;
+        if (const auto message = decode_message<feed_message>(payload))
+            listener_.peer_feed(message->body);
+        else
+            ++malformed_;
     }
-    listener_.peer_version(message->header.bundle_version);
-    table_.on_message(message->body);
+    else if (const auto message = decode_message<membership_message>(payload))
+        table_.on_message(message->body);
+    else
+        ++malformed_;
+    listener_.peer_state({from.address().to_string(), head->port, 0}, *head);
 }
 
 void peer_channel::on_timer()
--- a/modules/turmericlane_gateway/peers/peer_channel.h
+++ b/modules/turmericlane_gateway/peers/peer_channel.h
@@ -2,6 +2,7 @@
 
 #include "../loop/event_loop.h"
 #include "../loop/wakeup_timer.h"
+#include "datagram_header.h"
 
 #include <turmericlane_state/turmericlane_state.h>
 #include <turmericlane_wire/turmericlane_wire.h>
@@ -22,15 +23,23 @@
     /** A member was learned or its state changed. */
     virtual void member_changed(const member& value) = 0;
 
-    /** A peer has a configuration version in force. */
-    virtual void peer_version(std::uint64_t version) = 0;
+    /** A peer states what it knows of the store. */
+    virtual void
+    peer_state(const endpoint& peer, const datagram_header& state) = 0;
+
+    /** A peer has sent items of the store. */
+    virtual void peer_feed(const feed_message& message) = 0;
+
+    /** What this instance knows of the store, for the header of a datagram. */
+    virtual datagram_header own_state() const = 0;
 
     /** The process was stopped for that time. */
     virtual void process_paused(duration gap) = 0;
 };
 
-/** Carries the messages of a membership_table in datagrams between instances,
-    each with the sender's configuration version.
+/** Carries the messages of a membership_table, and small changes of the store,
+    in datagrams between instances; each states what its sender knows of the
+    store.
 
     A datagram that cannot be read is dropped and counted; the table notices
     missing answers itself.
@@ -57,11 +66,13 @@
     /** Instances that may exist; they are contacted. */
     void set_seeds(std::span<const listed_instance> seeds);
 
-    /** Version that goes with each datagram. */
-    void set_version(std::uint64_t version) noexcept
-    {
-        version_ = version;
-    }
+    /** Sends changes to many live peers. Changes that do not fit a datagram are
+        left out: peers learn from the header that there are some. */
+    void push(const feed_message& changes);
+
+    /** Encodes items for a peer that has asked for them; empty if they are too
+        many for one message. */
+    std::string encode_feed(const feed_message& message);
 
     /** Tells some peers at once that this instance leaves. */
     void leave();
@@ -83,8 +94,13 @@
     void changed(const member& value) override;
     void paused(duration gap) override;
 
+    void send_datagram(
+        const endpoint& to,
+        datagram_kind kind,
+        std::span<const std::uint8_t> payload);
+    message_header header() const;
     void receive();
-    void take(std::size_t size);
+    void take(std::size_t size, const udp::endpoint& from);
     void on_timer();
 
     const clock& clock_;
@@ -94,7 +110,6 @@
     message_encoder encoder_;
     membership_table table_;
     wakeup_timer timer_;
-    std::uint64_t version_ = 0;
     std::uint64_t malformed_ = 0;
     /** Payloads are read in place and need this alignment. */
     alignas(8) std::array<std::uint8_t, 65'536> incoming_{};
--- a/modules/turmericlane_gateway/searchers/answer_reader.cpp
+++ b/modules/turmericlane_gateway/searchers/answer_reader.cpp
@@ -68,8 +68,8 @@
     return echoed.empty() || echoed == request_id;
 }
 
-attempt_result read_answer(
-    server_response&& response, const protocol_names& names, bool part)
+attempt_result
+read_answer(server_response&& response, const protocol_names& names, bool part)
 {
     attempt_result made;
     made.load = parse_load(field(response.fields, names.load));
@@ -91,13 +91,13 @@
     if (encoded || (success && signature.empty()) ||
         (part && success && !is_listable(signature)))
         return made;
-    made.outcome = success ? attempt_outcome::answered
-                           : attempt_outcome::server_error;
+    made.outcome =
+        success ? attempt_outcome::answered : attempt_outcome::server_error;
     if (!success && response.status < 500)
     {
         // A searcher's own refusal of the request's content is an answer.
-        made.outcome = part ? attempt_outcome::server_error
-                            : attempt_outcome::answered;
+        made.outcome =
+            part ? attempt_outcome::server_error : attempt_outcome::answered;
     }
     made.answer.status = response.status;
     made.answer.signature = signature;
--- a/modules/turmericlane_gateway/searchers/answer_reader.h
+++ b/modules/turmericlane_gateway/searchers/answer_reader.h
@@ -23,7 +23,7 @@
 /** Classifies an answer of a searcher.
     @param part  it is one part of many: anything but a signed success with a
                  plain body is a failure */
-attempt_result read_answer(
-    server_response&& response, const protocol_names& names, bool part);
+attempt_result
+read_answer(server_response&& response, const protocol_names& names, bool part);
 
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -42,16 +42,14 @@
 } // namespace
 
 /** A connection to a searcher and the attempt that it carries. */
-class searcher_pool::link final
-    : public client_listener
-    , public std::enable_shared_from_this<link>
+class searcher_pool::link final : public client_listener,
+                                  public std::enable_shared_from_this<link>
 {
 public:
     link(searcher_pool& pool, std::shared_ptr<searcher> target)
         : pool_(pool)
         , target_(std::move(target))
-        , connection_(
-              std::make_shared<client_connection>(pool.loop_, *this))
+        , connection_(std::make_shared<client_connection>(pool.loop_, *this))
         , since_(pool.clock_.now())
     {
     }
@@ -150,8 +148,7 @@
         append_field(
             text, pool_.names_.time_left,
             std::to_string(std::max<std::int64_t>(1, milliseconds(left))));
-        append_field(
-            text, pool_.names_.expected_searcher, target_->entry().id);
+        append_field(text, pool_.names_.expected_searcher, target_->entry().id);
         text += request.tail;
         sent_ = true;
         connection_->send(std::move(text), body_expected_);
@@ -178,8 +175,8 @@
             transmit(std::exchange(text_, {}));
     }
 
-    void on_response(
-        client_connection& from, server_response&& response) override
+    void
+    on_response(client_connection& from, server_response&& response) override
     {
         const auto self = shared_from_this();
         if (!belongs_to(response, pool_.names_, id_))
@@ -190,14 +187,12 @@
                 fail(attempt_outcome::broken);
             return;
         }
-        const auto told =
-            keep_alive_time(field(response.fields, "keep-alive"));
-        idle_time_ = told > 0s ? std::max<duration>(
-                                     told - idle_margin, idle_margin)
-                               : duration(default_idle_time);
+        const auto told = keep_alive_time(field(response.fields, "keep-alive"));
+        idle_time_ = told > 0s
+                         ? std::max<duration>(told - idle_margin, idle_margin)
+                         : duration(default_idle_time);
         const auto keep = response.keep_alive && !target_->leaving();
-        auto result =
-            read_answer(std::move(response), pool_.names_, part_);
+        auto result = read_answer(std::move(response), pool_.names_, part_);
         if (!keep || result.outcome == attempt_outcome::misdirected ||
             result.outcome == attempt_outcome::broken)
         {
--- a/modules/turmericlane_gateway/turmericlane_gateway.h
+++ b/modules/turmericlane_gateway/turmericlane_gateway.h
@@ -3,7 +3,8 @@
 /** @file
     Module gateway: one event loop that carries whole HTTP requests between
     callers and searchers, tells callers which addresses to use, keeps in touch
-    with the other instances, and follows a store of configuration and searchers.
+    with the other instances, and follows a store of configuration and
+   searchers.
 
     Dependencies: core, forwarding, metrics, state, wire, Boost.
     It must not know the names and formats of any platform; an adapter hands
@@ -14,4 +15,4 @@
 #include "http/client_connection.h"
 #include "http/protocol_names.h"
 #include "log/json_log.h"
-#include "store/store_follower.h"
+#include "store/store_decoder.h"
--- a/modules/turmericlane_node/peers/peer_service.cpp
+++ b/modules/turmericlane_node/peers/peer_service.cpp
@@ -147,6 +147,7 @@
     case frame_type::bundle_full:
         return forward<bundle_full_message>(peer, payload);
     case frame_type::hello:
+    case frame_type::store_feed:
         break;
     }
     counters_.dropped_reply(reason::frame_malformed);
--- a/modules/turmericlane_state/turmericlane_state.h
+++ b/modules/turmericlane_state/turmericlane_state.h
@@ -23,3 +23,4 @@
 #include "membership/startup_gate.h"
 #include "membership/version_spread.h"
 #include "shutdown/shutdown_sequence.h"
+#include "store/store_follower.h"
--- a/modules/turmericlane_wire/frame/frame_header.cpp
+++ b/modules/turmericlane_wire/frame/frame_header.cpp
@@ -9,7 +9,7 @@
 constexpr std::string_view names[] = {
     "hello",           "search_batch",    "shard_reply",   "cancel",
     "booking_forward", "booking_execute", "booking_reply", "heartbeat",
-    "bundle_request",  "bundle_delta",    "bundle_full"};
+    "bundle_request",  "bundle_delta",    "bundle_full",   "store_feed"};
 
 static_assert(std::size(names) == frame_type_count);
 
--- a/modules/turmericlane_wire/frame/frame_header.h
+++ b/modules/turmericlane_wire/frame/frame_header.h
@@ -23,11 +23,12 @@
     heartbeat,
     bundle_request,
     bundle_delta,
-    bundle_full
+    bundle_full,
+    store_feed
 };
 
 /** Number of frame types. */
-inline constexpr std::size_t frame_type_count = 11;
+inline constexpr std::size_t frame_type_count = 12;
 
 /** Version of the frame layout and of the schema. */
 inline constexpr std::uint8_t frame_protocol_version = 1;
--- a/modules/turmericlane_wire/messages/message_decoder.cpp
+++ b/modules/turmericlane_wire/messages/message_decoder.cpp
@@ -308,4 +308,36 @@
         convert(*from->sender()), {from->text()->str()}};
 }
 
+template <>
+std::optional<received_message<feed_message>>
+decode_message(std::span<const std::uint8_t> payload)
+{
+    const auto* from = verified<schema::store_feed>(payload);
+    if (from == nullptr || from->age_ns() < 0 || from->settling_ns() < 0)
+        return std::nullopt;
+    received_message<feed_message> made{convert(*from->sender()), {}};
+    auto& to = made.body;
+    to.from = from->from();
+    to.through = from->through();
+    to.complete = from->complete();
+    to.age = std::chrono::nanoseconds(from->age_ns());
+    to.settling = std::chrono::nanoseconds(from->settling_ns());
+    if (from->items() == nullptr)
+        return made;
+    for (const auto* it : *from->items())
+    {
+        store_item item;
+        item.key = it->key()->str();
+        item.revision = it->revision();
+        if (!it->removed())
+        {
+            item.value.emplace();
+            if (it->value() != nullptr)
+                item.value->assign(it->value()->begin(), it->value()->end());
+        }
+        to.items.push_back(std::move(item));
+    }
+    return made;
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_decoder.h
+++ b/modules/turmericlane_wire/messages/message_decoder.h
@@ -23,7 +23,8 @@
    thread may call. There are specialisations for hello_message, search_batch,
     shard_reply_batch, cancel_message, booking_forward_message,
    booking_execute_message, booking_reply_message, membership_message,
-   bundle_request_message, bundle_delta_message and bundle_full_message.
+   bundle_request_message, bundle_delta_message, bundle_full_message and
+    feed_message.
 
     @param payload  aligned to 8 bytes, as frame_decoder hands it out
     @returns nothing if the payload is not a valid message of that type
@@ -66,5 +67,8 @@
 template <>
 std::optional<received_message<bundle_full_message>>
 decode_message(std::span<const std::uint8_t> payload);
+template <>
+std::optional<received_message<feed_message>>
+decode_message(std::span<const std::uint8_t> payload);
 
 } // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_encoder.cpp
+++ b/modules/turmericlane_wire/messages/message_encoder.cpp
@@ -264,4 +264,30 @@
         frame_type::bundle_full, schema::Createbundle_full(to, &sender, text));
 }
 
+encoded_message message_encoder::encode(
+    const message_header& header, const feed_message& message)
+{
+    auto& to = begin();
+    const auto sender = convert(header);
+    std::vector<flatbuffers::Offset<schema::store_item>> items;
+    items.reserve(message.items.size());
+    for (const auto& it : message.items)
+    {
+        const auto key = to.CreateString(it.key);
+        flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> value;
+        if (it.value)
+            value = to.CreateVector(
+                reinterpret_cast<const std::uint8_t*>(it.value->data()),
+                it.value->size());
+        items.push_back(schema::Createstore_item(
+            to, key, it.revision, !it.value.has_value(), value));
+    }
+    const auto list = to.CreateVector(items);
+    return finish(
+        frame_type::store_feed,
+        schema::Createstore_feed(
+            to, &sender, message.from, message.through, message.complete,
+            nanoseconds(message.age), nanoseconds(message.settling), list));
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_wire/messages/message_encoder.h
+++ b/modules/turmericlane_wire/messages/message_encoder.h
@@ -65,6 +65,8 @@
     encode(const message_header& header, const bundle_delta_message& message);
     encoded_message
     encode(const message_header& header, const bundle_full_message& message);
+    encoded_message
+    encode(const message_header& header, const feed_message& message);
 
 private:
     flatbuffers::FlatBufferBuilder& begin();
--- a/modules/turmericlane_wire/tests/fuzz_tests.cpp
+++ b/modules/turmericlane_wire/tests/fuzz_tests.cpp
@@ -68,6 +68,8 @@
         return decode_message<bundle_delta_message>(payload).has_value();
     case frame_type::bundle_full:
         return decode_message<bundle_full_message>(payload).has_value();
+    case frame_type::store_feed:
+        return decode_message<feed_message>(payload).has_value();
     }
     return false;
 }
--- a/modules/turmericlane_wire/tests/message_tests.cpp
+++ b/modules/turmericlane_wire/tests/message_tests.cpp
@@ -177,6 +177,20 @@
     REQUIRE(full);
     CHECK(full->body.text == "{}");
 
+    feed_message feed;
+    feed.from = 7;
+    feed.through = 9;
+    feed.complete = true;
+    feed.age = std::chrono::milliseconds(3);
+    feed.settling = std::chrono::milliseconds(4);
+    feed.items = {
+        {"a/written", 8, std::string("\0x", 2)},
+        {"a/empty", 9, std::string()},
+        {"a/removed", 9, std::nullopt}};
+    auto fed = round_trip<feed_message>(feed);
+    REQUIRE(fed);
+    CHECK(fed->body == feed);
+
     hello_message hello{make_session_nonce()};
     auto greeted = round_trip<hello_message>(hello);
     REQUIRE(greeted);
