Divide connections by subsets of replicas; bound repeats by a sliding window

Change: share_connections and plan_connections give each instance at least two replicas by rendezvous hashing; repeat_budget counts in a sliding window; the margin is the round trip that TCP has measured plus a handling time.

--- a/modules/turmericlane_forwarding/attempts/repeat_budget.h
+++ b/modules/turmericlane_forwarding/attempts/repeat_budget.h
@@ -2,6 +2,7 @@
 
 #include <turmericlane_core/turmericlane_core.h>
 
+#include <array>
 #include <string>
 #include <unordered_map>
 
@@ -15,9 +16,12 @@
     double ratio = 0.2;
     /** Repeats in any window beyond the ratio, for all instances together. */
     double slack = 50.0;
+    /** Length of the windows. */
+    duration window = std::chrono::seconds(10);
 };
 
-/** Bounds the hedges and retries of this instance, for each service.
+/** Bounds the hedges and retries of this instance, for each service, within a
+    sliding window.
 
     The instances do not count together: each spends from its own requests and
     from an equal part of the slack, so that the sum stays within the limit
@@ -26,11 +30,13 @@
     Answers the load of many slow or failing searchers, where repeats would add
     to the overload.
 
+    @see forward_engine
 */
 class repeat_budget
 {
 public:
-    explicit repeat_budget(const repeat_limits& limits);
+    /** @param time  clock; must outlive the budget */
+    repeat_budget(const repeat_limits& limits, const clock& time);
 
     /** Changes the number of instances that share the slack, at least 1. */
     void set_instances(std::uint32_t instances);
@@ -38,22 +44,37 @@
     /** A request was sent to a service for the first time. */
     void on_first(const std::string& service);
 
-    /** Takes a token for a retry. */
+    /** Takes a retry from the budget.
+        @returns false if none is left */
     bool try_retry(const std::string& service);
 
-    /** Takes a token for a hedge. */
+    /** Takes a hedge from the budget.
+        @returns false if none is left */
     bool try_hedge(const std::string& service);
 
 private:
-    struct account
+    /** Parts of a window that are counted apart. */
+    static constexpr std::size_t slices = 20;
+
+    struct slice
     {
-        double tokens = 0.0;
+        /** Number of the slice since the epoch of the clock. */
+        std::int64_t number = 0;
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
     };
 
-    account& of(const std::string& service);
+    /** One more than a window has, for the slice that has just begun. */
+    using account = std::array<slice, slices + 1>;
+
+    slice& current(const std::string& service);
+    double left(const std::string& service);
+    bool try_take(const std::string& service, double reserve);
 
     repeat_limits limits_;
-    double capacity_;
+    const clock& clock_;
+    double slack_;
+    time_point started_;
     std::unordered_map<std::string, account> accounts_;
 };
 
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -13,10 +13,13 @@
 
 using namespace std::chrono_literals;
 
-/** Time in which an answer travels to the caller and is handled on both ends;
-    the arrival of the request has cost as much. */
-constexpr auto least_reply_margin = 5ms;
-constexpr double reply_margin_share = 0.11;
+/** Time in which an answer is put together and handled on both ends, besides
+    the way to the caller and back. */
+constexpr auto handling_time = 4ms;
+/** Round trip that is assumed where none was measured. */
+constexpr auto assumed_round_trip = 3ms;
+/** Longer measured round trips are mostly delays that do not last. */
+constexpr double max_round_trip_share = 0.25;
 /** Part of the time left that is kept for the way back to the caller. */
 constexpr double deadline_margin_share = 0.04;
 /** An attempt with less time left than this is not sent. */
@@ -34,10 +37,13 @@
     return std::chrono::duration_cast<duration>(span * by);
 }
 
-duration reply_margin(duration target)
+/** Part of the target that is not this instance's to spend. */
+duration reply_margin(const forward_request& request)
 {
-    return std::max<duration>(
-        least_reply_margin, scaled(target, reply_margin_share));
+    const auto known = request.round_trip > duration::zero();
+    const auto trip = known ? request.round_trip : assumed_round_trip;
+    const auto longest = scaled(request.how->target, max_round_trip_share);
+    return std::min<duration>(trip, longest) + handling_time;
 }
 
 answer_limits limits_of(const forward_request& request)
@@ -49,7 +55,7 @@
     made.min_coverage = how.min_coverage;
     made.give_up_after = std::min(patience, how.timeout);
     made.answer_within =
-        std::min(made.give_up_after, how.target - reply_margin(how.target));
+        std::min(made.give_up_after, how.target - reply_margin(request));
     return made;
 }
 
@@ -66,7 +72,7 @@
     , actions_(actions)
     , listener_(listener)
     , replicas_(settings.data_centre, settings.seed)
-    , budget_(settings.repeats)
+    , budget_(settings.repeats, time)
 {
 }
 
--- a/modules/turmericlane_forwarding/searchers/connection_share.h
+++ b/modules/turmericlane_forwarding/searchers/connection_share.h
@@ -1,18 +1,44 @@
 #pragma once
 
+#include "searcher.h"
+
 #include <cstdint>
+#include <memory>
+#include <span>
+#include <string_view>
 
 namespace turmericlane
 {
 
-/** Connections that one instance may hold to a searcher, so that all instances
-    together stay within the searcher's limit.
+/** How this instance connects to the replicas of a service. */
+struct connection_share
+{
+    /** Connections to each replica that it uses; at least 1. */
+    std::uint32_t window = 1;
+    /** Replicas that it uses. */
+    std::size_t replicas = 1;
+};
+
+/** Divides the connections that searchers accept among the instances, so that
+    all together stay within each searcher's limit.
 
-    @param limit      connections that the searcher accepts from all callers
+    With more instances than connections, each instance uses some of the
+    replicas, and at least two, so that a hedge has somewhere to go.
+
+    @param limit      connections that a searcher accepts from all callers
     @param instances  live instances, this one included; at least 1
-    @returns at least 1: with more instances than connections, each uses few of
-             the searchers (see replica_choice) */
-std::uint32_t
-connection_share(std::uint32_t limit, std::uint32_t instances) noexcept;
+    @param replicas   replicas of the service */
+connection_share share_connections(
+    std::uint32_t limit, std::uint32_t instances, std::size_t replicas);
+
+/** Applies a share to the replicas of a service: sets their windows, and marks
+    those that this instance prefers. Rendezvous hashing spreads the instances
+    evenly over the replicas, whatever their views of each other.
+
+    @param instance  name of this instance, unique in the fleet */
+void plan_connections(
+    std::span<const std::shared_ptr<searcher>> replicas,
+    const connection_share& share,
+    std::string_view instance);
 
 } // namespace turmericlane
--- a/modules/turmericlane_forwarding/searchers/replica_choice.cpp
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.cpp
@@ -28,6 +28,18 @@
     std::span<const std::shared_ptr<searcher>> replicas,
     const needs& wanted,
     time_point now)
+{
+    auto made = choose_among(replicas, wanted, true, now);
+    const auto usable = made.result == outcome::busy ||
+                        (made.target && !made.target->ejected());
+    return usable ? made : choose_among(replicas, wanted, false, now);
+}
+
+replica_choice::choice replica_choice::choose_among(
+    std::span<const std::shared_ptr<searcher>> replicas,
+    const needs& wanted,
+    bool preferred_only,
+    time_point now)
 {
     choice made;
     double best = 0.0;
@@ -36,7 +48,7 @@
         const auto tried =
             std::find(wanted.tried.begin(), wanted.tried.end(), it) !=
             wanted.tried.end();
-        if (tried || it->leaving())
+        if (tried || it->leaving() || (preferred_only && !it->preferred()))
             continue;
         if (made.result == outcome::none)
             made.result = outcome::busy;
--- a/modules/turmericlane_forwarding/searchers/replica_choice.h
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.h
@@ -16,11 +16,10 @@
     data centre has an advantage, because the way to it is shorter and not
     charged. Ejected replicas are used only if there is no other.
 
-    With more instances than connections, an instance uses a subset of the
-    replicas, chosen by rendezvous hashing, so that the connections of all
-    instances spread evenly over the replicas.
+    Replicas that this instance does not prefer are used only if the preferred
+    ones are ejected or were tried.
 
-    @see searcher
+    @see searcher, plan_connections
 */
 class replica_choice
 {
@@ -62,6 +61,11 @@
         time_point now);
 
 private:
+    choice choose_among(
+        std::span<const std::shared_ptr<searcher>> replicas,
+        const needs& wanted,
+        bool preferred_only,
+        time_point now);
     double cost(const searcher& of, time_point now);
 
     std::string data_centre_;
--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -60,6 +60,19 @@
         return window_;
     }
 
+    /** Whether this instance keeps connections to it; see
+        plan_connections. */
+    void set_preferred(bool preferred) noexcept
+    {
+        preferred_ = preferred;
+    }
+
+    /** True if this instance keeps connections to it. */
+    bool preferred() const noexcept
+    {
+        return preferred_;
+    }
+
     /** True if one more request may be sent. */
     bool has_room() const noexcept
     {
@@ -134,6 +147,7 @@
 
     searcher_entry entry_;
     bool removed_ = false;
+    bool preferred_ = true;
     std::uint32_t window_ = 1;
     std::uint32_t in_flight_ = 0;
     std::uint32_t failures_ = 0;
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -22,6 +22,8 @@
 /** Instances that are assumed until the peers are known. */
 constexpr std::uint32_t assumed_instances = 8;
 constexpr auto time_to_know_peers = 3s;
+/** Connections are opened ahead of need from this time on. */
+constexpr auto time_to_warm = 1500ms;
 /** A lower number of instances is believed after this time: a partition must
     not make an instance use the connections of those that it cannot see. */
 constexpr auto lower_count_delay = 30s;
@@ -289,6 +291,7 @@
     work.how = how;
     work.time_left =
         read_time_left(request, settings_.names).value_or(how->timeout);
+    work.round_trip = from->round_trip();
     work.label = made.text.id;
     engine_.start(std::move(work));
     set_timer();
@@ -458,15 +461,11 @@
 
 void gateway::searcher_added(const std::shared_ptr<searcher>& which)
 {
-    set_window(*which);
     log_.state(
         gateway_event::searcher_added, {{"searcher", which->entry().id},
                                         {"service", which->entry().service},
                                         {"address", which->entry().address}});
-    const auto known =
-        routes_ && routes_->max_connections(which->entry().service);
-    if (known)
-        pool_.warm(which);
+    plan(which->entry().service);
 }
 
 void gateway::searcher_leaving(
@@ -477,6 +476,7 @@
                                           {"service", which->entry().service},
                                           {"why", why}});
     pool_.close_idle(which);
+    plan(which->entry().service);
 }
 
 void gateway::attempt_ended(attempt_handle attempt, attempt_result&& result)
@@ -511,32 +511,34 @@
         gateway_event::configuration_in_force,
         {{"version", static_cast<std::int64_t>(in_force.version)},
          {"routes", static_cast<std::int64_t>(in_force.routes.size())}});
-    set_windows();
-    warm_searchers();
+    plan_all();
 }
 
-void gateway::set_window(searcher& of)
+void gateway::plan(const std::string& service)
 {
-    std::optional<std::uint32_t> limit;
-    if (routes_)
-        limit = routes_->max_connections(of.entry().service);
-    of.set_window(connection_share(limit.value_or(1), instances_));
-}
-
-void gateway::set_windows()
-{
-    registry_.for_each([this](const auto& it) { set_window(*it); });
+    const auto limit =
+        routes_ ? routes_->max_connections(service) : std::nullopt;
+    const auto replicas = registry_.of_service(service);
+    plan_connections(
+        replicas,
+        share_connections(limit.value_or(1), instances_, replicas.size()),
+        settings_.where.address);
+    // Before the peers are known, too many would connect at once.
+    if (!limit || clock_.now() - started_ < time_to_warm)
+        return;
+    for (const auto& it : replicas)
+    {
+        if (it->preferred())
+            pool_.warm(it);
+    }
 }
 
-void gateway::warm_searchers()
+void gateway::plan_all()
 {
     if (!routes_)
         return;
-    for (const auto& service : routes_->configuration().services)
-    {
-        for (const auto& it : registry_.of_service(service.name))
-            pool_.warm(it);
-    }
+    for (const auto& it : routes_->configuration().services)
+        plan(it.name);
 }
 
 void gateway::member_changed(const member& value)
@@ -603,6 +605,11 @@
     if (members_changed_)
         set_place();
     const auto now = clock_.now();
+    if (!warmed_ && now - started_ >= time_to_warm)
+    {
+        warmed_ = true;
+        plan_all();
+    }
     auto seen = static_cast<std::uint32_t>(peers_.table().live_count());
     if (now - started_ < time_to_know_peers)
         seen = std::max(seen, assumed_instances);
@@ -623,7 +630,7 @@
     instances_ = std::max(seen, 1U);
     instances_lower_since_ = time_point::max();
     engine_.set_instances(instances_);
-    set_windows();
+    plan_all();
 }
 
 void gateway::set_place()
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -146,9 +146,8 @@
     attempt_ended(attempt_handle attempt, attempt_result&& result) override;
     void searcher_reachable(const std::shared_ptr<searcher>& which) override;
     void take_configuration(route_configuration&& configuration);
-    void set_window(searcher& of);
-    void set_windows();
-    void warm_searchers();
+    void plan(const std::string& service);
+    void plan_all();
 
     // Peers.
     void member_changed(const member& value) override;
@@ -194,6 +193,7 @@
     request_handle last_request_ = 0;
     std::uint32_t instances_ = 0;
     bool members_changed_ = true;
+    bool warmed_ = false;
     time_point instances_lower_since_ = time_point::max();
     std::uint64_t rotation_ = 0;
     std::uint64_t samples_ = 0;
--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -4,6 +4,9 @@
 
 #include <cassert>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace turmericlane
 {
 
@@ -109,6 +112,17 @@
     return state_ != state::closed;
 }
 
+duration caller_session::round_trip()
+{
+    tcp_info measured{};
+    socklen_t size = sizeof(measured);
+    const auto failed = getsockopt(
+        socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &measured, &size);
+    if (failed != 0)
+        return duration::zero();
+    return std::chrono::microseconds(measured.tcpi_rtt);
+}
+
 void caller_session::close_if_idle()
 {
     if (state_ == state::idle)
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -82,6 +82,10 @@
         @returns false if the session has ended */
     bool sweep();
 
+    /** Time in which a packet travels to the caller and back, as the system has
+        measured it; zero if not known. */
+    duration round_trip();
+
     /** Closes the connection if no request is under way. */
     void close_if_idle();
 
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -312,6 +312,8 @@
     {
         it->close();
         drop(*it);
+        if (it->target()->preferred())
+            warm(it->target());
     }
     for (const auto& it : late)
         it->fail(attempt_outcome::not_sent);
