Keep idle connections within half of each searcher's limit; weigh failures

Change: connection_share states kept and usable connections; replicas without a kept one cost the opening of one; searcher keeps a smoothed failure rate; retries that the budget does not allow yet are postponed, not failed.

--- a/modules/turmericlane_forwarding/engine/attempt_result.cpp
+++ b/modules/turmericlane_forwarding/engine/attempt_result.cpp
@@ -17,6 +17,8 @@
         return "misdirected";
     case attempt_outcome::not_sent:
         return "not_sent";
+    case attempt_outcome::turned_away:
+        return "turned_away";
     case attempt_outcome::broken:
         return "broken";
     }
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -29,6 +29,8 @@
 /** How long an attempt may go on after its request was answered: longer than a
     pause of a searcher, so that its connection is kept. */
 constexpr auto loser_time = 400ms;
+/** A retry that the budget did not allow is tried again. */
+constexpr auto budget_recheck = 15ms;
 /** An overdue attempt that could not be hedged is looked at again. */
 constexpr auto hedge_recheck = 8ms;
 
@@ -132,10 +134,19 @@
     case attempt_outcome::rejected:
         target.on_shed(now);
         break;
+    case attempt_outcome::turned_away:
+        target.on_turned_away(now);
+        break;
+    case attempt_outcome::server_error:
+        target.on_error(now);
+        break;
+    case attempt_outcome::broken:
+        target.on_broken(now);
+        break;
     case attempt_outcome::misdirected:
         target.remove();
         break;
-    default:
+    case attempt_outcome::not_sent:
         target.on_failure(now);
         break;
     }
@@ -312,12 +323,17 @@
     auto& which = of.parts[index];
     const auto allowed =
         !executed || of.request.how->repeat == repetition::idempotent;
-    if (!allowed || !may_repeat(of, which) ||
-        !budget_.try_retry(*which.service))
+    if (!allowed || !may_repeat(of, which))
     {
         fail_part(of, index);
         return;
     }
+    if (!budget_.try_retry(*which.service))
+    {
+        // The budget grows with each request and as its window moves on.
+        which.state = part_state::postponed;
+        return;
+    }
     listener_.repeated(of.request, *which.service, false);
     dispatch(of, index);
 }
@@ -328,6 +344,7 @@
     auto& which = of.parts[index];
     const auto executed = result.outcome == attempt_outcome::answered ||
                           result.outcome == attempt_outcome::server_error ||
+                          result.outcome == attempt_outcome::turned_away ||
                           result.outcome == attempt_outcome::broken;
     if (executed)
     {
@@ -394,6 +411,8 @@
     for (std::size_t i = 0; i < of.parts.size(); ++i)
     {
         auto& which = of.parts[i];
+        if (which.state == part_state::postponed)
+            retry(of, i, false);
         if (which.state != part_state::running || which.running != 1 ||
             now - which.last_sent < delay)
             continue;
@@ -411,6 +430,8 @@
     const auto delay = of.timing->delay(of.limits.answer_within);
     for (const auto& it : of.parts)
     {
+        if (it.state == part_state::postponed)
+            due = std::min(due, now + budget_recheck);
         if (it.state != part_state::running || it.running != 1 ||
             !may_repeat(of, it))
             continue;
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -109,6 +109,8 @@
     {
         waiting,
         running,
+        /** To be sent again as soon as the budget allows it. */
+        postponed,
         arrived,
         failed
     };
--- a/modules/turmericlane_forwarding/searchers/connection_share.cpp
+++ b/modules/turmericlane_forwarding/searchers/connection_share.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <vector>
 
 #include <xxhash.h>
@@ -19,8 +20,10 @@
 /** More connections than this do not shorten the wait for a slot. */
 constexpr std::uint32_t max_window = 8;
 
-/** Replicas that are used at least, so that a hedge has somewhere to go. */
-constexpr std::size_t min_replicas = 2;
+/** Part of the limit that idle connections use. */
+constexpr double kept_part = 0.5;
+
+constexpr std::uint64_t draws = 1'000'003;
 
 std::uint64_t weight(const searcher& of, std::string_view instance)
 {
@@ -38,10 +41,12 @@
     const auto all = instances + unknown_instances;
     connection_share made;
     made.window = std::clamp(limit / all, 1U, max_window);
-    made.replicas = replicas;
-    if (limit < all)
-        made.replicas = std::max(min_replicas, limit * replicas / all);
-    made.replicas = std::min(made.replicas, replicas);
+    made.replicas = static_cast<double>(replicas);
+    const auto kept = kept_part * limit / all;
+    made.kept = std::clamp(static_cast<std::uint32_t>(kept), 1U, made.window);
+    if (kept < 1.0)
+        made.replicas *= kept;
+    made.replicas = std::max(1.0, made.replicas);
     return made;
 }
 
@@ -53,15 +58,25 @@
     std::vector<searcher*> order;
     for (const auto& it : replicas)
         order.push_back(it.get());
-    if (share.replicas < order.size())
+    auto used = order.size();
+    if (share.replicas < static_cast<double>(order.size()))
+    {
         std::sort(
             order.begin(), order.end(),
             [instance](const searcher* a, const searcher* b)
             { return weight(*a, instance) > weight(*b, instance); });
+        const auto whole = std::floor(share.replicas);
+        // The weight of the best replica is as good as a random number.
+        const auto drawn =
+            static_cast<double>(weight(*order.front(), instance) % draws) /
+            draws;
+        used = static_cast<std::size_t>(whole);
+        used += drawn < share.replicas - whole ? 1 : 0;
+    }
     for (std::size_t i = 0; i < order.size(); ++i)
     {
         order[i]->set_window(share.window);
-        order[i]->set_preferred(i < share.replicas);
+        order[i]->set_kept(i < used ? share.kept : 0);
     }
 }
 
--- a/modules/turmericlane_forwarding/searchers/connection_share.h
+++ b/modules/turmericlane_forwarding/searchers/connection_share.h
@@ -13,17 +13,22 @@
 /** How this instance connects to the replicas of a service. */
 struct connection_share
 {
-    /** Connections to each replica that it uses; at least 1. */
+    /** Connections to each replica that it may use at once; at least 1. */
     std::uint32_t window = 1;
-    /** Replicas that it uses. */
-    std::size_t replicas = 1;
+    /** Of these, the ones that it keeps while they are idle; at least 1. */
+    std::uint32_t kept = 1;
+    /** Replicas that it uses on average; some instances use one more than
+        others. */
+    double replicas = 1.0;
 };
 
 /** Divides the connections that searchers accept among the instances, so that
     all together stay within each searcher's limit.
 
-    With more instances than connections, each instance uses some of the
-    replicas, and at least two, so that a hedge has somewhere to go.
+    Idle connections use half of the limit: those of instances that have lost
+    power count at the searcher until they time out, and their successors need
+    connections at once. With more instances than that, each uses some of the
+    replicas, and at least one.
 
     @param limit      connections that a searcher accepts from all callers
     @param instances  live instances, this one included; at least 1
--- a/modules/turmericlane_forwarding/searchers/replica_choice.cpp
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.cpp
@@ -12,6 +12,8 @@
 constexpr double remote_cost = 0.12;
 /** Spreads the choice between replicas of about equal cost. */
 constexpr double random_cost = 0.08;
+/** Cost of opening a connection, relative to a usual request. */
+constexpr double unpreferred_cost = 0.8;
 constexpr double ejected_cost = 1000.0;
 /** Above this cost a searcher is paused, slow or has no free slot. */
 constexpr double idle_cost_limit = 6.0;
@@ -28,18 +30,6 @@
     std::span<const std::shared_ptr<searcher>> replicas,
     const needs& wanted,
     time_point now)
-{
-    auto made = choose_among(replicas, wanted, true, now);
-    const auto usable = made.result == outcome::busy ||
-                        (made.target && !made.target->ejected());
-    return usable ? made : choose_among(replicas, wanted, false, now);
-}
-
-replica_choice::choice replica_choice::choose_among(
-    std::span<const std::shared_ptr<searcher>> replicas,
-    const needs& wanted,
-    bool preferred_only,
-    time_point now)
 {
     choice made;
     double best = 0.0;
@@ -48,7 +38,7 @@
         const auto tried =
             std::find(wanted.tried.begin(), wanted.tried.end(), it) !=
             wanted.tried.end();
-        if (tried || it->leaving() || (preferred_only && !it->preferred()))
+        if (tried || it->leaving())
             continue;
         if (made.result == outcome::none)
             made.result = outcome::busy;
@@ -71,6 +61,8 @@
     auto made = of.cost(now);
     if (of.entry().data_centre != data_centre_)
         made += remote_cost;
+    if (!of.preferred())
+        made += unpreferred_cost;
     if (of.ejected())
         made += ejected_cost;
     std::uniform_real_distribution<double> spread(0.0, random_cost);
--- a/modules/turmericlane_forwarding/searchers/replica_choice.h
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.h
@@ -16,8 +16,8 @@
     data centre has an advantage, because the way to it is shorter and not
     charged. Ejected replicas are used only if there is no other.
 
-    Replicas that this instance does not prefer are used only if the preferred
-    ones are ejected or were tried.
+    A replica to which this instance keeps no connection has the disadvantage
+    that one has to be opened.
 
     @see searcher, plan_connections
 */
@@ -61,11 +61,6 @@
         time_point now);
 
 private:
-    choice choose_among(
-        std::span<const std::shared_ptr<searcher>> replicas,
-        const needs& wanted,
-        bool preferred_only,
-        time_point now);
     double cost(const searcher& of, time_point now);
 
     std::string data_centre_;
--- a/modules/turmericlane_forwarding/searchers/searcher.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher.cpp
@@ -36,6 +36,16 @@
 /** Silence for longer than this is no pause of a garbage collection. */
 constexpr auto longest_pause = 300ms;
 constexpr auto shed_avoidance = 40ms;
+constexpr auto turned_away_avoidance = 300ms;
+/** Answers broken off in a row that count as a failure of the searcher. */
+constexpr std::uint32_t broken_in_a_row = 3;
+/** Weight of one request in the smoothed rate of failures. */
+constexpr double failure_weight = 0.2;
+/** The rate loses half in this time, so that the searcher is tried again. */
+constexpr double failure_half_life_s = 4.0;
+/** Cost of a certain failure relative to a usual request: the repeat takes its
+    time, and the budget of repeats is scarce. */
+constexpr double failure_cost = 8.0;
 
 double seconds(duration span)
 {
@@ -47,6 +57,7 @@
 searcher::searcher(searcher_entry entry, time_point now)
     : entry_(std::move(entry))
     , slowness_at_(now)
+    , failure_rate_at_(now)
     , load_at_(now - load_lifetime)
     , warm_at_(now + entry_.warm_up)
 {
@@ -60,6 +71,7 @@
     {
         failures_ = 0;
         slowness_ = 1.0;
+        failure_rate_ = 0.0;
         avoided_until_ = {};
         ejected_ = false;
     }
@@ -84,6 +96,7 @@
 {
     failures_ = 0;
     last_answer_ = now;
+    note_failure(false, now);
     avoided_until_ = {};
     ejected_ = false;
     if (usual <= duration::zero())
@@ -115,11 +128,36 @@
     probe_at_ = now + std::min<duration>(span, longest_ejection);
     ejected_ = true;
     ++failures_;
+    note_failure(true, now);
+}
+
+void searcher::on_broken(time_point now) noexcept
+{
+    if (failures_ + 1 >= broken_in_a_row)
+    {
+        on_failure(now);
+        return;
+    }
+    ++failures_;
+    note_failure(true, now);
+}
+
+void searcher::on_error(time_point now) noexcept
+{
+    last_answer_ = now;
+    note_failure(true, now);
 }
 
 void searcher::on_shed(time_point now) noexcept
 {
+    last_answer_ = now;
     avoided_until_ = std::max(avoided_until_, now + shed_avoidance);
+    note_failure(true, now);
+}
+
+void searcher::on_turned_away(time_point now) noexcept
+{
+    avoided_until_ = std::max(avoided_until_, now + turned_away_avoidance);
 }
 
 void searcher::on_reachable() noexcept
@@ -135,6 +173,19 @@
     sent_since_load_ = 0;
 }
 
+void searcher::note_failure(bool failed, time_point now) noexcept
+{
+    const auto sample = failed ? failure_weight : 0.0;
+    failure_rate_ = failure_rate(now) * (1.0 - failure_weight) + sample;
+    failure_rate_at_ = now;
+}
+
+double searcher::failure_rate(time_point now) const noexcept
+{
+    const auto age = seconds(now - failure_rate_at_);
+    return failure_rate_ * std::exp2(-age / failure_half_life_s);
+}
+
 double searcher::slowness(time_point now) const noexcept
 {
     const auto age = seconds(now - slowness_at_);
@@ -157,6 +208,7 @@
     auto made = slowness(now) * (1.0 + utilisation_cost * used * used);
     if (now < warm_at_)
         made *= warm_up_cost;
+    made += failure_cost * failure_rate(now);
     if (now < avoided_until_)
         made += overdue_cost;
     return made;
--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -60,17 +60,23 @@
         return window_;
     }
 
-    /** Whether this instance keeps connections to it; see
+    /** Idle connections that this instance keeps to it; see
         plan_connections. */
-    void set_preferred(bool preferred) noexcept
+    void set_kept(std::uint32_t connections) noexcept
     {
-        preferred_ = preferred;
+        kept_ = connections;
+    }
+
+    /** Idle connections that this instance keeps to it. */
+    std::uint32_t kept() const noexcept
+    {
+        return kept_;
     }
 
     /** True if this instance keeps connections to it. */
     bool preferred() const noexcept
     {
-        return preferred_;
+        return kept_ > 0;
     }
 
     /** True if one more request may be sent. */
@@ -105,14 +111,24 @@
         @param sent  when the request was sent */
     void on_silence(time_point sent, time_point now) noexcept;
 
-    /** A request or connection failed in a way that may be the searcher's
-        fault; it is out of use until a connection to it was opened, which is
-        tried after a time that grows with each failure in a row. */
+    /** It could not be reached, or was silent; it is out of use until a
+        connection to it was opened, which is tried after a time that grows with
+        each failure in a row. */
     void on_failure(time_point now) noexcept;
 
+    /** An answer was broken off. Several in a row count as a failure; a single
+        one only makes the searcher less attractive. */
+    void on_broken(time_point now) noexcept;
+
+    /** It answered with a failure of its own. */
+    void on_error(time_point now) noexcept;
+
     /** It refused a request because it was full. */
     void on_shed(time_point now) noexcept;
 
+    /** It closed a new connection, because it has too many. */
+    void on_turned_away(time_point now) noexcept;
+
     /** A connection to it was opened after it had failed. */
     void on_reachable() noexcept;
 
@@ -142,18 +158,23 @@
     double cost(time_point now) const noexcept;
 
 private:
+    void note_failure(bool failed, time_point now) noexcept;
     double slowness(time_point now) const noexcept;
+    double failure_rate(time_point now) const noexcept;
     double utilisation(time_point now) const noexcept;
 
     searcher_entry entry_;
     bool removed_ = false;
-    bool preferred_ = true;
+    std::uint32_t kept_ = 1;
     std::uint32_t window_ = 1;
     std::uint32_t in_flight_ = 0;
     std::uint32_t failures_ = 0;
     time_point last_answer_{};
     double slowness_ = 1.0;
     time_point slowness_at_;
+    /** Smoothed share of the requests that it refused or failed. */
+    double failure_rate_ = 0.0;
+    time_point failure_rate_at_;
     double load_ = 0.0;
     time_point load_at_;
     std::uint32_t sent_since_load_ = 0;
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -18,6 +18,9 @@
 constexpr auto connect_time = 250ms;
 /** Idle connections are closed that long before the searcher closes them. */
 constexpr auto idle_margin = 700ms;
+/** Connections beyond those that an instance keeps are closed after this
+    time. */
+constexpr duration spare_time = 500ms;
 /** Lifetime of an idle connection if the searcher states none. */
 constexpr auto default_idle_time = 8s;
 
@@ -117,6 +120,12 @@
         return idle() && (now - since_ >= idle_time_ || target_->leaving());
     }
 
+    /** @returns true if it has not been needed for a short time */
+    bool spare(time_point now) const
+    {
+        return idle() && now - since_ >= spare_time;
+    }
+
     bool opening_too_long(time_point now) const
     {
         return opening() && now - since_ >= connect_time;
@@ -131,6 +140,8 @@
         {
             if (how == attempt_outcome::not_sent)
                 target_->on_failure(pool_.clock_.now());
+            if (how == attempt_outcome::turned_away)
+                target_->on_turned_away(pool_.clock_.now());
             return;
         }
         attempt_result made;
@@ -150,7 +161,6 @@
             std::to_string(std::max<std::int64_t>(1, milliseconds(left))));
         append_field(text, pool_.names_.expected_searcher, target_->entry().id);
         text += request.tail;
-        sent_ = true;
         connection_->send(std::move(text), body_expected_);
     }
 
@@ -158,7 +168,6 @@
     {
         const auto ended = attempt_;
         attempt_ = 0;
-        sent_ = false;
         since_ = pool_.clock_.now();
         pool_.by_attempt_.erase(ended);
         pool_.listener_.attempt_ended(ended, std::move(result));
@@ -187,6 +196,7 @@
                 fail(attempt_outcome::broken);
             return;
         }
+        answered_ = true;
         const auto told = keep_alive_time(field(response.fields, "keep-alive"));
         idle_time_ = told > 0s
                          ? std::max<duration>(told - idle_margin, idle_margin)
@@ -204,10 +214,12 @@
 
     void on_end(client_connection&, connection_end why) override
     {
-        fail(
-            why == connection_end::not_opened || !sent_
-                ? attempt_outcome::not_sent
-                : attempt_outcome::broken);
+        if (why == connection_end::not_opened)
+            fail(attempt_outcome::not_sent);
+        else if (!answered_ && why == connection_end::closed)
+            fail(attempt_outcome::turned_away);
+        else
+            fail(attempt_outcome::broken);
     }
 
     searcher_pool& pool_;
@@ -218,7 +230,8 @@
     std::string id_;
     bool part_ = false;
     bool body_expected_ = true;
-    bool sent_ = false;
+    /** An answer has arrived on this connection. */
+    bool answered_ = false;
     time_point deadline_{};
     time_point since_;
     duration idle_time_ = default_idle_time;
@@ -308,6 +321,16 @@
         else if (it->expired(now))
             expired.push_back(it);
     }
+    for (const auto& [target, all] : by_searcher_)
+    {
+        std::size_t n = 0;
+        for (const auto& it : all)
+        {
+            if (it->idle() && ++n > target->kept() && it->spare(now) &&
+                !it->expired(now))
+                expired.push_back(it);
+        }
+    }
     for (const auto& it : expired)
     {
         it->close();
