Compress what peers pull; prefer replicas of the own data centre

Change: pulls are answered with compressed bytes, made once for many peers; kept connections go to the own data centre first.

--- a/modules/turmericlane_forwarding/searchers/connection_share.cpp
+++ b/modules/turmericlane_forwarding/searchers/connection_share.cpp
@@ -53,7 +53,7 @@
 void plan_connections(
     std::span<const std::shared_ptr<searcher>> replicas,
     const connection_share& share,
-    std::string_view instance)
+    const connection_owner& owner)
 {
     std::vector<searcher*> order;
     for (const auto& it : replicas)
@@ -63,12 +63,18 @@
     {
         std::sort(
             order.begin(), order.end(),
-            [instance](const searcher* a, const searcher* b)
-            { return weight(*a, instance) > weight(*b, instance); });
+            [&owner](const searcher* a, const searcher* b)
+            {
+                const auto a_near = a->entry().data_centre == owner.data_centre;
+                const auto b_near = b->entry().data_centre == owner.data_centre;
+                if (a_near != b_near)
+                    return a_near;
+                return weight(*a, owner.name) > weight(*b, owner.name);
+            });
         const auto whole = std::floor(share.replicas);
         // The weight of the best replica is as good as a random number.
         const auto drawn =
-            static_cast<double>(weight(*order.front(), instance) % draws) /
+            static_cast<double>(weight(*order.front(), owner.name) % draws) /
             draws;
         used = static_cast<std::size_t>(whole);
         used += drawn < share.replicas - whole ? 1 : 0;
--- a/modules/turmericlane_forwarding/searchers/connection_share.h
+++ b/modules/turmericlane_forwarding/searchers/connection_share.h
@@ -36,14 +36,21 @@
 connection_share share_connections(
     std::uint32_t limit, std::uint32_t instances, std::size_t replicas);
 
-/** Applies a share to the replicas of a service: sets their windows, and marks
-    those that this instance prefers. Rendezvous hashing spreads the instances
-    evenly over the replicas, whatever their views of each other.
+/** Which instance plans its connections. */
+struct connection_owner
+{
+    /** Unique in the fleet. */
+    std::string_view name;
+    std::string_view data_centre;
+};
 
-    @param instance  name of this instance, unique in the fleet */
+/** Applies a share to the replicas of a service: sets their windows, and how
+    many connections this instance keeps. It prefers replicas in its own data
+    centre; rendezvous hashing spreads the instances evenly over the others,
+    whatever their views of each other. */
 void plan_connections(
     std::span<const std::shared_ptr<searcher>> replicas,
     const connection_share& share,
-    std::string_view instance);
+    const connection_owner& owner);
 
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "../peers/feed_body.h"
 #include "request_text.h"
 
 #include <algorithm>
@@ -22,6 +23,9 @@
 /** Instances that are assumed until the peers are known. */
 constexpr std::uint32_t assumed_instances = 8;
 constexpr auto time_to_know_peers = 3s;
+/** Many peers ask for the same changes at once; their answer is made once in
+    this time. */
+constexpr auto feed_lifetime = 250ms;
 /** Connections are opened ahead of need from this time on. */
 constexpr auto time_to_warm = 1500ms;
 /** A lower number of instances is believed after this time: a partition must
@@ -522,7 +526,7 @@
     plan_connections(
         replicas,
         share_connections(limit.value_or(1), instances_, replicas.size()),
-        settings_.where.address);
+        {settings_.where.address, settings_.data_centre});
     // Before the peers are known, too many would connect at once.
     if (!limit || clock_.now() - started_ < time_to_warm)
         return;
@@ -589,10 +593,28 @@
         return {400, {}, {}};
     if (!follower_ || !follower_->complete())
         return {503, {}, {}};
-    auto body = peers_.encode_feed(follower_->feed_since(after));
+    const auto body = feed_body(after);
     if (body.empty())
         return {503, {}, {}};
-    return {200, "application/octet-stream", std::move(body)};
+    return {200, "application/octet-stream", body};
+}
+
+const std::string& gateway::feed_body(std::uint64_t after)
+{
+    const auto now = clock_.now();
+    auto& kept = kept_feed_;
+    if (kept.after == after && kept.through == follower_->through() &&
+        now - kept.made < feed_lifetime)
+        return kept.body;
+    auto message = follower_->feed_since(after);
+    // It may be handed out until the end of its lifetime.
+    message.age += feed_lifetime;
+    kept.after = after;
+    kept.through = message.through;
+    kept.made = now;
+    const auto encoded = peers_.encode_feed(message);
+    kept.body = encoded.empty() ? std::string() : compress_body(encoded);
+    return kept.body;
 }
 
 void gateway::process_paused(duration gap)
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -108,6 +108,15 @@
     void pulled(const feed_message& message) override;
     void pull_failed() override;
 
+    /** An answer to a pull, kept for peers that ask the same. */
+    struct kept_feed
+    {
+        std::uint64_t after = 0;
+        std::uint64_t through = 0;
+        time_point made{};
+        std::string body;
+    };
+
     // Callers.
     void on_request(
         const std::shared_ptr<caller_session>& from,
@@ -155,6 +164,7 @@
     peer_state(const endpoint& peer, const datagram_header& state) override;
     void peer_feed(const feed_message& message) override;
     datagram_header own_state() const override;
+    const std::string& feed_body(std::uint64_t after);
     api_answer answer_peer(const caller_request& request);
     void process_paused(duration gap) override;
     void count_instances();
@@ -183,6 +193,7 @@
     std::unique_ptr<store_follower> follower_;
     store_decoder* decoder_ = nullptr;
     feed_puller puller_;
+    kept_feed kept_feed_;
     shutdown_sequence shutdown_;
     wakeup_timer timer_;
     loop_timer sweep_timer_;
--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -91,10 +91,9 @@
             close();
         break;
     case state::reading:
-        if (spent >= handler_.limits().header_time &&
-            !parser_->is_header_done())
-            refuse(408);
-        else if (spent >= handler_.limits().idle_time)
+        if (spent >= handler_.limits().idle_time ||
+            (spent >= handler_.limits().header_time &&
+             !parser_->is_header_done()))
             refuse(408);
         break;
     case state::writing:
--- a/modules/turmericlane_gateway/http/http_listener.cpp
+++ b/modules/turmericlane_gateway/http/http_listener.cpp
@@ -16,8 +16,7 @@
 
 http_listener::http_listener(
     event_context& loop, session_handler& handler, const clock& time)
-    : loop_(loop)
-    , handler_(handler)
+    : handler_(handler)
     , clock_(time)
     , acceptor_(loop.get_executor())
     , retry_(loop.get_executor())
--- a/modules/turmericlane_gateway/http/http_listener.h
+++ b/modules/turmericlane_gateway/http/http_listener.h
@@ -44,7 +44,6 @@
 private:
     void accept();
 
-    event_context& loop_;
     session_handler& handler_;
     const clock& clock_;
     tcp_acceptor acceptor_;
--- a/modules/turmericlane_gateway/peers/feed_puller.cpp
+++ b/modules/turmericlane_gateway/peers/feed_puller.cpp
@@ -1,5 +1,7 @@
 #include "feed_puller.h"
 
+#include "feed_body.h"
+
 #include <cassert>
 
 namespace turmericlane
@@ -70,12 +72,11 @@
 
 void feed_puller::on_response(client_connection&, server_response&& response)
 {
-    const auto body = std::move(response.body);
-    const std::span<const std::uint8_t> payload(
-        reinterpret_cast<const std::uint8_t*>(body.data()), body.size());
-    const auto message = response.status == ok_status
-                             ? decode_message<feed_message>(payload)
+    const auto payload = response.status == ok_status
+                             ? decompress_body(response.body)
                              : std::nullopt;
+    const auto message =
+        payload ? decode_message<feed_message>(*payload) : std::nullopt;
     if (!message)
     {
         fail();
--- a/modules/turmericlane_gateway/peers/peer_channel.cpp
+++ b/modules/turmericlane_gateway/peers/peer_channel.cpp
@@ -36,8 +36,7 @@
     const member& self,
     std::uint64_t seed,
     peer_listener& listener)
-    : clock_(time)
-    , listener_(listener)
+    : listener_(listener)
     , socket_(loop.get_executor())
     , self_(self)
     , table_(self, datagram_limits(), seed, time, *this)
--- a/modules/turmericlane_gateway/peers/peer_channel.h
+++ b/modules/turmericlane_gateway/peers/peer_channel.h
@@ -103,7 +103,6 @@
     void take(std::size_t size, const udp::endpoint& from);
     void on_timer();
 
-    const clock& clock_;
     peer_listener& listener_;
     udp_socket socket_;
     member self_;
