Hedge later, count each sent attempt, wait on new connections after a start

Change: 94th percentile; in the first 12 s a request waits 2 ms on a new connection, so that a connection that is closed has not carried it; only unsent attempts are repeated without budget.

--- a/modules/turmericlane_forwarding/attempts/hedge_timing.cpp
+++ b/modules/turmericlane_forwarding/attempts/hedge_timing.cpp
@@ -8,11 +8,11 @@
 namespace
 {
 
-constexpr double overdue_percentile = 0.9;
+constexpr double overdue_percentile = 0.94;
 /** An attempt is overdue no earlier than at this multiple of the median. */
 constexpr double least_multiple = 1.6;
 /** Time that a hedge is given, as a multiple of the median. */
-constexpr double hedge_multiple = 1.6;
+constexpr double hedge_multiple = 2.0;
 /** Part of the target that is waited while no latencies are known. */
 constexpr double unknown_share = 0.4;
 
--- a/modules/turmericlane_forwarding/attempts/repeat_budget.cpp
+++ b/modules/turmericlane_forwarding/attempts/repeat_budget.cpp
@@ -14,12 +14,12 @@
 constexpr double ratio_use = 0.9;
 /** Part of the slack that is spent; the rest covers instances that are not
     known yet. */
-constexpr double slack_use = 0.75;
+constexpr double slack_use = 0.8;
 /** Part of the slack that an instance has in its first window, because its
     former process may have spent in the same one. */
 constexpr double initial_share = 0.5;
 /** Part of its slack that hedges leave to retries. */
-constexpr double retry_reserve = 0.25;
+constexpr double retry_reserve = 0.15;
 
 } // namespace
 
--- a/modules/turmericlane_forwarding/engine/attempt_result.h
+++ b/modules/turmericlane_forwarding/engine/attempt_result.h
@@ -23,8 +23,8 @@
     misdirected,
     /** No byte of the request was sent. */
     not_sent,
-    /** The searcher closed a new connection before it answered on it: it has
-        too many. The request may have run. */
+    /** The searcher closed a new connection before the request was sent: it has
+        too many. */
     turned_away,
     /** No usable answer; the request may have run. */
     broken
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -16,10 +16,10 @@
 /** Time in which an answer is put together and handled on both ends, besides
     the way to the caller and back. */
 constexpr auto handling_time = 4ms;
-/** Round trip that is assumed where none was measured. */
-constexpr auto assumed_round_trip = 3ms;
-/** Longer measured round trips are mostly delays that do not last. */
-constexpr double max_round_trip_share = 0.25;
+/** Time on the way that is assumed where none was measured. */
+constexpr auto assumed_travel_time = 3ms;
+/** Longer measured times are mostly delays that do not last. */
+constexpr double max_travel_share = 0.3;
 /** Part of the time left that is kept for the way back to the caller. */
 constexpr double deadline_margin_share = 0.04;
 /** An attempt with less time left than this is not sent. */
@@ -42,10 +42,25 @@
 /** Part of the target that is not this instance's to spend. */
 duration reply_margin(const forward_request& request)
 {
-    const auto known = request.round_trip > duration::zero();
-    const auto trip = known ? request.round_trip : assumed_round_trip;
-    const auto longest = scaled(request.how->target, max_round_trip_share);
-    return std::min<duration>(trip, longest) + handling_time;
+    const auto known = request.travel_time > duration::zero();
+    const auto travel = known ? request.travel_time : assumed_travel_time;
+    const auto longest = scaled(request.how->target, max_travel_share);
+    return std::min<duration>(travel, longest) + handling_time;
+}
+
+/** False only if it is certain that the request was not executed. */
+bool may_have_run(attempt_outcome value)
+{
+    return value == attempt_outcome::answered ||
+           value == attempt_outcome::server_error ||
+           value == attempt_outcome::broken;
+}
+
+/** True if the request was sent. */
+bool was_sent(attempt_outcome value)
+{
+    return value != attempt_outcome::not_sent &&
+           value != attempt_outcome::turned_away;
 }
 
 answer_limits limits_of(const forward_request& request)
@@ -318,20 +333,22 @@
            which.rejected < max_rejections && left >= least_useful_time;
 }
 
-void forward_engine::retry(request_state& of, std::size_t index, bool executed)
+void forward_engine::retry(
+    request_state& of, std::size_t index, attempt_outcome after)
 {
     auto& which = of.parts[index];
-    const auto allowed =
-        !executed || of.request.how->repeat == repetition::idempotent;
+    const auto allowed = !may_have_run(after) ||
+                         of.request.how->repeat == repetition::idempotent;
     if (!allowed || !may_repeat(of, which))
     {
         fail_part(of, index);
         return;
     }
-    if (!budget_.try_retry(*which.service))
+    if (was_sent(after) && !budget_.try_retry(*which.service))
     {
         // The budget grows with each request and as its window moves on.
         which.state = part_state::postponed;
+        which.postponed_after = after;
         return;
     }
     listener_.repeated(of.request, *which.service, false);
@@ -342,15 +359,10 @@
     request_state& of, std::size_t index, attempt_result&& result)
 {
     auto& which = of.parts[index];
-    const auto executed = result.outcome == attempt_outcome::answered ||
-                          result.outcome == attempt_outcome::server_error ||
-                          result.outcome == attempt_outcome::turned_away ||
-                          result.outcome == attempt_outcome::broken;
-    if (executed)
-    {
+    const auto how = result.outcome;
+    of.may_have_run = of.may_have_run || may_have_run(how);
+    if (may_have_run(how))
         ++which.executed;
-        of.may_have_run = true;
-    }
     else
         ++which.rejected;
     if (which.state == part_state::arrived || which.state == part_state::failed)
@@ -365,7 +377,7 @@
     if (result.outcome == attempt_outcome::server_error)
         which.answer = std::move(result.answer);
     if (which.running == 0)
-        retry(of, index, executed);
+        retry(of, index, how);
 }
 
 void forward_engine::fail_part(request_state& of, std::size_t index)
@@ -412,7 +424,7 @@
     {
         auto& which = of.parts[i];
         if (which.state == part_state::postponed)
-            retry(of, i, false);
+            retry(of, i, which.postponed_after);
         if (which.state != part_state::running || which.running != 1 ||
             now - which.last_sent < delay)
             continue;
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -126,6 +126,7 @@
         /** Ended attempts that were not executed. */
         std::uint32_t rejected = 0;
         time_point last_sent;
+        attempt_outcome postponed_after = attempt_outcome::broken;
         std::vector<std::shared_ptr<searcher>> tried;
         std::vector<attempt_handle> attempts;
         searcher_answer answer;
@@ -178,7 +179,7 @@
         std::size_t index,
         const std::shared_ptr<searcher>& to);
     bool may_repeat(const request_state& of, const part& which) const;
-    void retry(request_state& of, std::size_t index, bool executed);
+    void retry(request_state& of, std::size_t index, attempt_outcome after);
     void take_answer(request_state& of, std::size_t index, attempt_result&&);
     void fail_part(request_state& of, std::size_t index);
     void hedge(request_state& of, std::size_t index);
--- a/modules/turmericlane_forwarding/engine/forward_request.h
+++ b/modules/turmericlane_forwarding/engine/forward_request.h
@@ -22,9 +22,9 @@
     const route* how = nullptr;
     /** How long the caller waits from now. */
     duration time_left{};
-    /** Time in which a packet travels to the caller and back; zero if not
-        known. */
-    duration round_trip{};
+    /** Time that the caller's request and its answer spend on the way; zero if
+        not known. */
+    duration travel_time{};
     /** The caller's id of the request, for logs. */
     std::string label;
 };
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -295,7 +295,7 @@
     work.how = how;
     work.time_left =
         read_time_left(request, settings_.names).value_or(how->timeout);
-    work.round_trip = from->round_trip();
+    work.travel_time = from->travel_time();
     work.label = made.text.id;
     engine_.start(std::move(work));
     set_timer();
--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -111,7 +111,7 @@
     return state_ != state::closed;
 }
 
-duration caller_session::round_trip()
+duration caller_session::travel_time()
 {
     tcp_info measured{};
     socklen_t size = sizeof(measured);
@@ -119,7 +119,8 @@
         socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &measured, &size);
     if (failed != 0)
         return duration::zero();
-    return std::chrono::microseconds(measured.tcpi_rtt);
+    const auto trips = first_ ? 2 : 1;
+    return std::chrono::microseconds(measured.tcpi_rtt) * trips;
 }
 
 void caller_session::close_if_idle()
@@ -248,6 +249,7 @@
         return;
     }
     since_ = clock_.now();
+    first_ = false;
     if (close_after)
     {
         state_ = state::draining;
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -82,9 +82,10 @@
         @returns false if the session has ended */
     bool sweep();
 
-    /** Time in which a packet travels to the caller and back, as the system has
-        measured it; zero if not known. */
-    duration round_trip();
+    /** Time that the way to the caller and back takes for the request under
+        way, as far as the system has measured it, with the opening of the
+        connection for the first request; zero if not known. */
+    duration travel_time();
 
     /** Closes the connection if no request is under way. */
     void close_if_idle();
@@ -127,6 +128,7 @@
     bool keep_alive_ = true;
     bool head_ = false;
     bool paused_ = false;
+    bool first_ = true;
     std::string incoming_;
     std::string outgoing_;
     std::optional<parser> parser_;
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -18,6 +18,13 @@
 constexpr auto connect_time = 250ms;
 /** Idle connections are closed that long before the searcher closes them. */
 constexpr auto idle_margin = 700ms;
+/** A searcher that has too many connections closes a new one at once. A request
+    is sent on a new connection only after this time, so that it is certain not
+    to have run if the connection is closed. */
+constexpr auto turn_away_time = 2ms;
+/** For this time after the start: the connections of a former process may still
+    count at the searchers. */
+constexpr auto cautious_time = 12s;
 /** Connections beyond those that an instance keeps are closed after this
     time. */
 constexpr duration spare_time = 500ms;
@@ -96,6 +103,7 @@
 
     void close()
     {
+        delay_.reset();
         connection_->close();
     }
 
@@ -134,7 +142,7 @@
     void fail(attempt_outcome how)
     {
         const auto self = shared_from_this();
-        connection_->close();
+        close();
         pool_.drop(*this);
         if (attempt_ == 0)
         {
@@ -161,9 +169,22 @@
             std::to_string(std::max<std::int64_t>(1, milliseconds(left))));
         append_field(text, pool_.names_.expected_searcher, target_->entry().id);
         text += request.tail;
+        sent_ = true;
         connection_->send(std::move(text), body_expected_);
     }
 
+    void transmit_later()
+    {
+        delay_.emplace(pool_.loop_.get_executor());
+        delay_->expires_after(turn_away_time);
+        delay_->async_wait(
+            [self = shared_from_this()](boost::system::error_code ec)
+            {
+                if (!ec && self->attempt_ != 0 && self->connection_->idle())
+                    self->transmit(std::exchange(self->text_, {}));
+            });
+    }
+
     void end_attempt(attempt_result&& result)
     {
         const auto ended = attempt_;
@@ -180,7 +201,11 @@
         const auto self = shared_from_this();
         if (target_->ejected())
             pool_.listener_.searcher_reachable(target_);
-        if (attempt_ != 0)
+        if (attempt_ == 0)
+            return;
+        if (pool_.cautious())
+            transmit_later();
+        else
             transmit(std::exchange(text_, {}));
     }
 
@@ -196,7 +221,6 @@
                 fail(attempt_outcome::broken);
             return;
         }
-        answered_ = true;
         const auto told = keep_alive_time(field(response.fields, "keep-alive"));
         idle_time_ = told > 0s
                          ? std::max<duration>(told - idle_margin, idle_margin)
@@ -216,7 +240,7 @@
     {
         if (why == connection_end::not_opened)
             fail(attempt_outcome::not_sent);
-        else if (!answered_ && why == connection_end::closed)
+        else if (!sent_)
             fail(attempt_outcome::turned_away);
         else
             fail(attempt_outcome::broken);
@@ -230,8 +254,9 @@
     std::string id_;
     bool part_ = false;
     bool body_expected_ = true;
-    /** An answer has arrived on this connection. */
-    bool answered_ = false;
+    /** A request was sent on this connection. */
+    bool sent_ = false;
+    std::optional<loop_timer> delay_;
     time_point deadline_{};
     time_point since_;
     duration idle_time_ = default_idle_time;
@@ -246,6 +271,7 @@
     , clock_(time)
     , names_(names)
     , listener_(listener)
+    , started_(time.now())
 {
 }
 
@@ -342,6 +368,11 @@
         it->fail(attempt_outcome::not_sent);
 }
 
+bool searcher_pool::cautious() const
+{
+    return clock_.now() - started_ < cautious_time;
+}
+
 std::shared_ptr<searcher_pool::link>
 searcher_pool::idle_link(const searcher& target) const
 {
--- a/modules/turmericlane_gateway/searchers/searcher_pool.h
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.h
@@ -101,6 +101,7 @@
     std::shared_ptr<link> idle_link(const searcher& target) const;
     std::shared_ptr<link> open_link(const std::shared_ptr<searcher>& target);
     void drop(const link& which);
+    bool cautious() const;
 
     event_context& loop_;
     const clock& clock_;
@@ -111,6 +112,7 @@
     std::unordered_map<const link*, std::shared_ptr<link>> links_;
     std::unordered_map<attempt_handle, link*> by_attempt_;
     std::uint64_t opened_ = 0;
+    time_point started_;
 };
 
 } // namespace turmericlane
