--- /dev/null
+++ b/modules/turmericlane_forwarding/tests/gather_tests.cpp
@@ -0,0 +1,79 @@
+#include <turmericlane_forwarding/turmericlane_forwarding.h>
+
+#include <doctest/doctest.h>
+
+using namespace turmericlane;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string record(char fill)
+{
+    return std::string(record_bytes, fill);
+}
+
+constexpr answer_limits limits{0.89, 100ms, 1000ms};
+
+gather_decision
+decide_at(std::size_t arrived, std::size_t failed, duration elapsed)
+{
+    return decide({10, arrived, failed, elapsed}, limits);
+}
+
+} // namespace
+
+TEST_CASE("the greatest records come first, and equal ones all count")
+{
+    const auto first = record('b') + record('d') + record('b');
+    const auto second = record('\xff') + record('a') + "short";
+    const std::vector<std::string_view> parts = {first, second};
+    CHECK(
+        merge_records(parts, 4) ==
+        record('\xff') + record('d') + record('b') + record('b'));
+    CHECK(merge_records(parts, 100).size() == 5 * record_bytes);
+    CHECK(merge_records({}, 3).empty());
+}
+
+// Guards against a late complete answer where most of the parts in time serve
+// the caller better, and against an answer below the route's minimum.
+TEST_CASE("an answer with parts missing leaves in time")
+{
+    CHECK(decide_at(9, 0, 50ms) == gather_decision::wait);
+    CHECK(decide_at(9, 0, 100ms) == gather_decision::answer);
+    CHECK(decide_at(8, 0, 100ms) == gather_decision::wait);
+    CHECK(decide_at(10, 0, 1ms) == gather_decision::answer);
+}
+
+TEST_CASE("once the target has passed, completeness comes first for a while")
+{
+    CHECK(decide_at(9, 0, 150ms) == gather_decision::wait);
+    CHECK(decide_at(9, 0, 200ms) == gather_decision::answer);
+}
+
+// Guards against holding a request that cannot be answered any more.
+TEST_CASE("a gather fails as soon as too few parts can arrive")
+{
+    CHECK(decide_at(0, 2, 1ms) == gather_decision::fail);
+    CHECK(decide_at(5, 1, 1ms) == gather_decision::wait);
+    CHECK(decide_at(9, 1, 1ms) == gather_decision::answer);
+    CHECK(decide_at(8, 0, 1000ms) == gather_decision::fail);
+    CHECK(decide_at(0, 10, 1ms) == gather_decision::fail);
+}
+
+TEST_CASE("a refusal depends on rank and waiting work")
+{
+    const admission_control admission;
+    route urgent;
+    urgent.target = 50ms;
+    route archive;
+    archive.target = 50ms;
+    archive.rank = 2;
+    instance_load load;
+    CHECK(admission.refuse_for(urgent, load) == duration::zero());
+    load.queue_wait = 25ms;
+    CHECK(admission.refuse_for(urgent, load) == duration::zero());
+    CHECK(admission.refuse_for(archive, load) > duration::zero());
+    load.lag = 100ms;
+    CHECK(admission.refuse_for(urgent, load) >= 100ms);
+}
--- /dev/null
+++ b/modules/turmericlane_forwarding/tests/routing_tests.cpp
@@ -0,0 +1,83 @@
+#include <turmericlane_forwarding/turmericlane_forwarding.h>
+
+#include <doctest/doctest.h>
+
+using namespace turmericlane;
+
+namespace
+{
+
+route make_route(std::string host, std::string prefix, std::string service)
+{
+    route made;
+    made.name = host + prefix;
+    made.host = std::move(host);
+    made.prefix = std::move(prefix);
+    made.services = {{std::move(service), 1.0}};
+    return made;
+}
+
+route_table make_table(std::vector<route> routes)
+{
+    route_configuration made;
+    made.version = 1;
+    made.routes = std::move(routes);
+    return {std::move(made), 0.0};
+}
+
+} // namespace
+
+// Guards against a request that goes to the service of a shorter prefix.
+TEST_CASE("the longest prefix of the host selects the route")
+{
+    auto table = make_table(
+        {make_route("a.example", "/", "all"),
+         make_route("a.example", "/x/y/", "deep"),
+         make_route("a.example", "/x/", "wide"),
+         make_route("b.example", "/x/y/z/", "other")});
+    const auto service = [&](std::string_view host, std::string_view path)
+    { return table.find(host, path)->services.front().service; };
+    CHECK(service("a.example", "/x/y/z/1") == "deep");
+    CHECK(service("a.example", "/x/1") == "wide");
+    CHECK(service("a.example", "/xy") == "all");
+    CHECK(service("A.Example", "/x/") == "wide");
+    CHECK(table.find("b.example", "/x/y/") == nullptr);
+    CHECK(table.find("c.example", "/") == nullptr);
+}
+
+// Guards against shares that are right only on average over long times.
+TEST_CASE("a split is exact over every short run")
+{
+    const std::vector<weighted_service> services = {
+        {"a", 7.0}, {"b", 2.0}, {"c", 1.0}};
+    weighted_split split(services, 0.37);
+    for (int run = 0; run < 20; ++run)
+    {
+        int counts[3] = {};
+        for (int i = 0; i < 10; ++i)
+            ++counts[split.next()];
+        CHECK(counts[0] == 7);
+        CHECK(counts[1] == 2);
+        CHECK(counts[2] == 1);
+    }
+}
+
+TEST_CASE("a service without weight gets no request")
+{
+    const std::vector<weighted_service> services = {{"a", 0.0}, {"b", 3.0}};
+    weighted_split split(services, 0.0);
+    for (int i = 0; i < 10; ++i)
+        CHECK(split.next() == 1);
+}
+
+// Guards against a new version that changes requests under way.
+TEST_CASE("a table outlives the version that replaces it")
+{
+    auto table = std::make_shared<route_table>(
+        make_table({make_route("a.example", "/", "old")}));
+    const auto* const how = table->find("a.example", "/");
+    const auto held = table;
+    table = std::make_shared<route_table>(
+        make_table({make_route("a.example", "/", "new")}));
+    CHECK(held->next_service(*how) == "old");
+}
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -99,7 +99,8 @@
 
 void json_log::flush()
 {
-    if (dropped_ != reported_)
+    // While the reader is behind, a report would only add to what waits.
+    if (dropped_ != reported_ && buffer_.size() < max_buffered_bytes / 2)
     {
         append(
             gateway_event::lines_dropped,
