Let callers keep addresses for as long as the platform allows; explain requests

Nothing told the cause of a failed request from the logs. Change: the lifetime is the platform's bound; leaving instances serve longer. Results name missing parts; turmericlane explain joins the log lines of one request. docs/platform.md, docs/gateway-events.md.

--- a/apps/turmericlane/main.cpp
+++ b/apps/turmericlane/main.cpp
@@ -5,6 +5,7 @@
 #include "bundle_sign_command.h"
 #include "bundle_verify_command.h"
 #include "counters_command.h"
+#include "explain_command.h"
 #include "instances_command.h"
 #include "search_command.h"
 #include "status_command.h"
@@ -31,6 +32,7 @@
     made.push_back(std::make_unique<status_command>());
     made.push_back(std::make_unique<instances_command>());
     made.push_back(std::make_unique<counters_command>());
+    made.push_back(std::make_unique<explain_command>());
     made.push_back(std::make_unique<search_command>());
     made.push_back(std::make_unique<book_command>());
     return made;
--- /dev/null
+++ b/apps/turmericlane/tests/explain_tests.cpp
@@ -0,0 +1,68 @@
+#include <log_explainer.h>
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace turmericlane;
+
+namespace
+{
+
+std::string explain(const std::string& request, const std::string& log)
+{
+    log_explainer made(request);
+    std::istringstream lines(log);
+    made.read(lines);
+    return made.size() == 0 ? "nothing" : made.text();
+}
+
+} // namespace
+
+// Recorded from runs of the gateway.
+TEST_CASE("a refusal in a burst is explained by what waited")
+{
+    const std::string log =
+        R"(4.2 a-1 {"time_ms":20,"instance":"a-1","event":6402,)"
+        R"("name":"request_refused","request":"r1","route":"x",)"
+        R"("why":"overloaded","execution":"not_run","took_ms":0,)"
+        R"("target_ms":50,"missing":0,"missing_parts":"","attempts":0,)"
+        R"("repeats":0,"retry_after_ms":120,"lag_ms":70,"version":3})";
+    const auto text = explain("r1", log);
+    CHECK(
+        text.find("cause: refused before anything was sent") !=
+        std::string::npos);
+    CHECK(text.find("lag 70 ms") != std::string::npos);
+    CHECK(explain("r2", log) == "nothing");
+}
+
+TEST_CASE("parts missing are named with the searcher that did not answer")
+{
+    const std::string log =
+        R"({"time_ms":30,"instance":"a-1","event":6401,)"
+        R"("name":"request_answered","request":"r1","why":"none",)"
+        R"("took_ms":44,"target_ms":50,"missing":1,)"
+        R"("missing_parts":"s7@i-9 running 31","attempts":11,"repeats":1})";
+    CHECK(
+        explain("r1", log).find(
+            "cause: answered in time, without 1 parts (s7@i-9 running 31)") !=
+        std::string::npos);
+}
+
+TEST_CASE("lines of all instances are put in order of time")
+{
+    const std::string log =
+        R"({"time_ms":90,"instance":"a-2","name":"request_failed",)"
+        R"("request":"r1","why":"attempts_failed","took_ms":4,)"
+        R"("target_ms":50,"missing_parts":"s1@i-1 failed 3",)"
+        R"("attempts":1,"repeats":0})"
+        "\nno json\n"
+        R"({"time_ms":70,"instance":"a-2","name":"attempt_failed",)"
+        R"("request":"r1","service":"s1","searcher":"i-1","how":"broken"})"
+        "\n"
+        R"({"time_ms":10,"instance":"a-3","name":"store_lost","why":"refused"})";
+    const auto text = explain("r1", log);
+    CHECK(text.find("attempt at i-1 of s1") < text.find("request_failed"));
+    CHECK(text.find("cause: all attempts") != std::string::npos);
+    CHECK(text.find("store was out of reach") != std::string::npos);
+}
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -31,6 +31,8 @@
 constexpr auto loser_time = 400ms;
 /** A retry that the budget did not allow is tried again. */
 constexpr auto budget_recheck = 15ms;
+/** Parts that a result names, at most; logs are bounded. */
+constexpr std::size_t max_stated_parts = 4;
 /** An overdue attempt that could not be hedged is looked at again. */
 constexpr auto hedge_recheck = 8ms;
 
@@ -537,11 +539,51 @@
         made.answer.status = 200;
         made.answer.body = merge_records(bodies, of.request.how->top_count);
     }
+    made.missing = missing_of(of);
     const auto ended = requests_.extract(of.request.id);
     release_attempts(of, failure == forward_failure::deadline);
     actions_.finish(ended.key(), std::move(made));
 }
 
+std::vector<missing_part>
+forward_engine::missing_of(const request_state& of) const
+{
+    std::vector<missing_part> made;
+    for (const auto& it : of.parts)
+    {
+        if (it.state == part_state::arrived)
+            continue;
+        if (made.size() == max_stated_parts)
+            break;
+        auto& stated = made.emplace_back();
+        stated.service = *it.service;
+        stated.state = name_of(it.state);
+        if (it.tried.empty())
+            continue;
+        stated.searcher = it.tried.back()->entry().id;
+        stated.since_sent = clock_.now() - it.last_sent;
+    }
+    return made;
+}
+
+std::string_view forward_engine::name_of(part_state value) noexcept
+{
+    switch (value)
+    {
+    case part_state::waiting:
+        return "waiting";
+    case part_state::running:
+        return "running";
+    case part_state::postponed:
+        return "postponed";
+    case part_state::arrived:
+        return "arrived";
+    case part_state::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 void forward_engine::release_attempts(const request_state& of, bool at_once)
 {
     for (const auto& which : of.parts)
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -115,6 +115,8 @@
         failed
     };
 
+    static std::string_view name_of(part_state value) noexcept;
+
     struct part
     {
         const std::string* service = nullptr;
@@ -190,6 +192,7 @@
     /** @returns true if the request has ended and its state is gone */
     bool settle(request_state& of);
     void finish(request_state& of, forward_failure failure);
+    std::vector<missing_part> missing_of(const request_state& of) const;
     void release_attempts(const request_state& of, bool at_once);
     void pump(const std::string& service);
 
--- a/modules/turmericlane_forwarding/engine/forward_request.h
+++ b/modules/turmericlane_forwarding/engine/forward_request.h
@@ -48,6 +48,19 @@
 /** Name for logs and metrics. */
 std::string_view to_string(forward_failure value) noexcept;
 
+/** A shard that is missing in an answer, and why. */
+struct missing_part
+{
+    std::string service;
+    /** Searcher of the last attempt; empty if there was none. */
+    std::string searcher;
+    /** "waiting" for room, "running" still, "postponed" for want of budget, or
+        "failed". */
+    std::string_view state;
+    /** Time since the last attempt was sent; zero if there was none. */
+    duration since_sent{};
+};
+
 /** The final result of a request. */
 struct forward_result
 {
@@ -62,6 +75,8 @@
     std::vector<std::string> part_signatures;
     /** Shards that are missing in a merged answer. */
     std::size_t missing_parts = 0;
+    /** The first few of them, or of the parts of a request that failed. */
+    std::vector<missing_part> missing;
     /** Attempts that were sent. */
     std::uint32_t attempts = 0;
     /** Of these, hedges and retries. */
--- a/modules/turmericlane_forwarding/tests/searcher_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/searcher_tests.cpp
@@ -49,6 +49,7 @@
 make_replicas(const std::vector<std::string>& data_centres, time_point now)
 {
     std::vector<std::shared_ptr<searcher>> made;
+    made.reserve(data_centres.size());
     for (const auto& it : data_centres)
         made.push_back(std::make_shared<searcher>(
             make_entry("r" + std::to_string(made.size()), it), now));
--- a/modules/turmericlane_forwarding/tests/virtual_searchers.cpp
+++ b/modules/turmericlane_forwarding/tests/virtual_searchers.cpp
@@ -26,7 +26,7 @@
     entry.data_centre = "north";
     entry.slots = 3;
     registry.on_entry(entry);
-    const auto made = registry.of_service(service).back();
+    auto made = registry.of_service(service).back();
     made->set_window(8);
     return made;
 }
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -34,7 +34,7 @@
 /** What a caller is told while no configuration is known. */
 constexpr auto starting_retry_after = 250ms;
 /** Time before the end of the shutdown in which requests finish. */
-constexpr auto drain_time = 1800ms;
+constexpr auto drain_time = 1200ms;
 /** One of so many answers of the usual kind is logged. */
 constexpr std::uint64_t usual_sample = 128;
 constexpr std::uint64_t repeat_sample = 16;
@@ -44,6 +44,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
+/** "service@searcher state ms", separated by commas. */
+std::string missing_text(const forward_result& result)
+{
+    std::string made;
+    for (const auto& it : result.missing)
+    {
+        if (!made.empty())
+            made += ", ";
+        made += it.service + "@" + it.searcher + " " + std::string(it.state) +
+                " " + std::to_string(milliseconds(it.since_sent));
+    }
+    return made;
+}
+
 member self_of(const gateway_settings& settings)
 {
     member made;
@@ -421,6 +435,7 @@
         what = result.execution == outcome::not_run
                    ? gateway_event::request_refused
                    : gateway_event::request_failed;
+    const auto missing = missing_text(result);
     log_.detail(
         what, {{"request", of.text.id},
                {"route", of.route_name},
@@ -429,6 +444,7 @@
                {"took_ms", milliseconds(took)},
                {"target_ms", milliseconds(of.target)},
                {"missing", static_cast<std::int64_t>(result.missing_parts)},
+               {"missing_parts", missing},
                {"attempts", static_cast<std::int64_t>(result.attempts)},
                {"repeats", static_cast<std::int64_t>(result.repeats)},
                {"retry_after_ms", milliseconds(result.retry_after)},
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -26,8 +26,6 @@
     double store_calls_per_second = 1000.0;
     /** From the first SIGTERM to the end of the process at most. */
     duration shutdown_time = std::chrono::seconds(5);
-    /** How long callers may use an answer with addresses. */
-    duration address_lifetime = std::chrono::seconds(1);
     /** Random, another one at each start. */
     std::uint64_t nonce = 0;
 };
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -61,6 +61,15 @@
     return "unknown";
 }
 
+std::vector<gateway_event> all_gateway_events()
+{
+    std::vector<gateway_event> made;
+    made.reserve(std::size(names));
+    for (const auto& it : names)
+        made.push_back(it.number);
+    return made;
+}
+
 json_log::json_log(
     event_context& loop,
     const clock& time,
--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace turmericlane
 {
@@ -46,6 +47,9 @@
 /** Name of an event, as in the catalogue. */
 std::string_view to_string(gateway_event value) noexcept;
 
+/** Every event in the order of its number. */
+std::vector<gateway_event> all_gateway_events();
+
 /** A key and a value of a log line. */
 struct log_field
 {
--- a/modules/turmericlane_gateway/tests/message_tests.cpp
+++ b/modules/turmericlane_gateway/tests/message_tests.cpp
@@ -1,10 +1,13 @@
 #include <turmericlane_gateway/gateway/request_text.h>
+#include <turmericlane_gateway/log/json_log.h>
 #include <turmericlane_gateway/peers/datagram_header.h>
 #include <turmericlane_gateway/peers/feed_body.h>
 #include <turmericlane_gateway/searchers/answer_reader.h>
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+
 using namespace turmericlane;
 using namespace std::chrono_literals;
 
@@ -25,7 +28,7 @@
     return made;
 }
 
-server_response make_response(unsigned status, std::string signature)
+server_response make_response(unsigned status, const std::string& signature)
 {
     server_response made;
     made.status = status;
@@ -209,3 +212,17 @@
     body[7] = '\x7f';
     CHECK_FALSE(decompress_body(body));
 }
+
+// Guards against a catalogue that no longer says what the log writes.
+TEST_CASE("the catalogue names every event")
+{
+    std::ifstream file(TURMERICLANE_SOURCE_DIR "/docs/gateway-events.md");
+    const std::string page(std::istreambuf_iterator<char>(file), {});
+    REQUIRE_FALSE(page.empty());
+    for (const auto it : all_gateway_events())
+    {
+        const auto row = "| " + std::to_string(static_cast<unsigned>(it)) +
+                         " | " + std::string(to_string(it)) + " |";
+        CHECK_MESSAGE(page.find(row) != std::string::npos, row);
+    }
+}
--- a/modules/turmericlane_state/tests/store_tests.cpp
+++ b/modules/turmericlane_state/tests/store_tests.cpp
@@ -264,11 +264,13 @@
         time.advance(100ms);
         ahead.follower.on_timer();
         const auto key = "s" + std::to_string(i);
-        ahead.follower.on_answer(answer(++revision, {{key, revision, "x"}}));
+        ++revision;
+        ahead.follower.on_answer(answer(revision, {{key, revision, "x"}}));
         time.advance(100ms);
         ahead.follower.on_timer();
+        ++revision;
         ahead.follower.on_answer(
-            answer(++revision, {{key, revision, std::nullopt}}));
+            answer(revision, {{key, revision, std::nullopt}}));
     }
     const auto message = ahead.follower.feed_since(1);
     CHECK(message.complete);
--- a/modules/turmericlane_wire/tests/frame_tests.cpp
+++ b/modules/turmericlane_wire/tests/frame_tests.cpp
@@ -92,7 +92,8 @@
     CHECK(error_after_change(3, 1) == reason::frame_too_large);
     CHECK(error_after_change(4, 2) == reason::frame_version);
     CHECK(error_after_change(5, 0) == reason::frame_malformed);
-    CHECK(error_after_change(5, frame_type_count + 1) == reason::frame_malformed);
+    CHECK(
+        error_after_change(5, frame_type_count + 1) == reason::frame_malformed);
     CHECK(error_after_change(6, 1) == reason::frame_malformed);
     CHECK(error_after_change(0, 9) == reason::frame_malformed);
     CHECK(error_after_change(8, 9) == reason::frame_auth);
