--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -66,7 +66,8 @@
 class json_log
 {
 public:
-    /** @param descriptor  open for writing; it is made non-blocking
+    /** @param descriptor  open for writing; it is made non-blocking, and closed
+                           in the end
         @param instance    name of this process in each line */
     json_log(
         event_context& loop,
