--- a/apps/turmericlane/log_explainer.cpp
+++ b/apps/turmericlane/log_explainer.cpp
@@ -41,7 +41,7 @@
 
 std::string cause_of_failure(const json& line)
 {
-    const auto why = text_of(line, "why");
+    auto why = text_of(line, "why");
     const auto parts = text_of(line, "missing_parts");
     if (why == "overloaded")
         return "refused before anything was sent: waiting work would have made "
