End a pull only by its own answer

Cause: items that a peer pushed while a pull was under way ended it, so that a second pull could begin on the same puller, which an assertion forbids. Change: store_follower tells pulled from pushed items.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -260,7 +260,7 @@
 
 void gateway::pulled(const feed_message& message)
 {
-    follower_->on_feed(message);
+    follower_->on_pulled(message);
     set_timer();
 }
 
--- a/modules/turmericlane_state/store/store_follower.cpp
+++ b/modules/turmericlane_state/store/store_follower.cpp
@@ -142,7 +142,6 @@
 
 void store_follower::on_feed(const feed_message& message)
 {
-    pulling_ = false;
     if (message.through <= through_ && !message.complete)
         return;
     if (!message.complete && message.from > through_)
@@ -171,6 +170,12 @@
         listener_.store_complete();
 }
 
+void store_follower::on_pulled(const feed_message& message)
+{
+    pulling_ = false;
+    on_feed(message);
+}
+
 void store_follower::on_pull_failed()
 {
     pulling_ = false;
--- a/modules/turmericlane_state/store/store_follower.h
+++ b/modules/turmericlane_state/store/store_follower.h
@@ -91,8 +91,8 @@
     /** Passes changes that were read from the store to the peers. */
     virtual void push(const feed_message& changes) = 0;
 
-    /** Asks a peer for the changes after a revision; on_feed or on_pull_failed
-        follows. */
+    /** Asks a peer for the changes after a revision; on_pulled or
+        on_pull_failed follows. */
     virtual void pull(const endpoint& peer, std::uint64_t after) = 0;
 };
 
@@ -134,10 +134,11 @@
         store's confirmation of that is. */
     void on_peer(const endpoint& peer, std::uint64_t through, duration age);
 
-    /** A peer has sent items, asked or not. */
+    /** A peer has pushed items. */
     void on_feed(const feed_message& message);
 
-    /** The pull under way has failed. */
+    /** The pull under way was answered, or has failed. */
+    void on_pulled(const feed_message& message);
     void on_pull_failed();
 
     /** Sets the place of this instance in the order of the live ones, from 0,
--- a/modules/turmericlane_state/tests/store_tests.cpp
+++ b/modules/turmericlane_state/tests/store_tests.cpp
@@ -248,6 +248,37 @@
     CHECK(one.listener.items.size() == 3);
 }
 
+// Guards against a second pull while the first one is under way.
+TEST_CASE("a push does not end a pull")
+{
+    manual_clock time;
+    instance one(time);
+    one.follower.set_place(9, 58, 1000.0);
+    one.follower.start();
+    one.follower.on_answer(answer(10, {{"a", 4, "1"}}));
+    one.follower.on_peer(peer, 15, 0ms);
+    time.advance(100ms);
+    one.follower.on_timer();
+    REQUIRE(one.listener.pulls.size() == 1);
+    feed_message pushed;
+    pushed.from = 10;
+    pushed.through = 12;
+    one.follower.on_feed(pushed);
+    one.follower.on_peer(peer, 15, 0ms);
+    time.advance(100ms);
+    one.follower.on_timer();
+    CHECK(one.listener.pulls.size() == 1);
+    feed_message pulled;
+    pulled.from = 10;
+    pulled.through = 15;
+    one.follower.on_pulled(pulled);
+    CHECK(one.follower.through() == 15);
+    one.follower.on_peer(peer, 18, 0ms);
+    time.advance(100ms);
+    one.follower.on_timer();
+    CHECK(one.listener.pulls.size() == 2);
+}
+
 TEST_CASE("a peer gets all that exists if removals were forgotten")
 {
     manual_clock time;
