Name the instances with the largest processor share to callers

Change: caller_placement orders the fleet by processor share, nearness to the searchers and a hash of the address, and names as many as the reported load needs four times over, eight at least. Members carry their capacity, datagrams the sender's work in percent of it. fleet_division gives named instances three quarters of the connections and of the slack of repeats.

--- a/modules/turmericlane_forwarding/attempts/repeat_budget.cpp
+++ b/modules/turmericlane_forwarding/attempts/repeat_budget.cpp
@@ -32,9 +32,9 @@
     assert(limits.window > duration::zero());
 }
 
-void repeat_budget::set_instances(std::uint32_t instances)
+void repeat_budget::set_instances(double instances)
 {
-    assert(instances > 0);
+    assert(instances > 0.0);
     slack_ = limits_.slack * slack_use / instances;
 }
 
--- a/modules/turmericlane_forwarding/attempts/repeat_budget.h
+++ b/modules/turmericlane_forwarding/attempts/repeat_budget.h
@@ -39,7 +39,7 @@
     repeat_budget(const repeat_limits& limits, const clock& time);
 
     /** Changes the number of instances that share the slack, at least 1. */
-    void set_instances(std::uint32_t instances);
+    void set_instances(double instances);
 
     /** A request was sent to a service for the first time. */
     void on_first(const std::string& service);
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -193,7 +193,7 @@
     lag_ = lag;
 }
 
-void forward_engine::set_instances(std::uint32_t instances)
+void forward_engine::set_instances(double instances)
 {
     budget_.set_instances(instances);
 }
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -81,7 +81,7 @@
     void on_lag(duration lag);
 
     /** Changes the number of live instances, this one included. */
-    void set_instances(std::uint32_t instances);
+    void set_instances(double instances);
 
     /** To be called at or after next_wakeup. */
     void on_timer();
--- a/modules/turmericlane_forwarding/searchers/connection_share.cpp
+++ b/modules/turmericlane_forwarding/searchers/connection_share.cpp
@@ -35,14 +35,20 @@
 } // namespace
 
 connection_share share_connections(
-    std::uint32_t limit, std::uint32_t instances, std::size_t replicas)
+    std::uint32_t limit, const fleet_division& fleet, std::size_t replicas)
 {
-    assert(instances > 0);
-    const auto all = instances + unknown_instances;
+    assert(fleet.named > 0);
     connection_share made;
-    made.window = std::clamp(limit / all, 1U, max_window);
     made.replicas = static_cast<double>(replicas);
-    const auto kept = kept_part * limit / all;
+    if (!fleet.self_named)
+    {
+        made.kept = 0;
+        return made;
+    }
+    const auto sharing = fleet.named + unknown_instances;
+    const auto own = limit * (1.0 - unnamed_part(fleet)) / sharing;
+    made.window = std::clamp(static_cast<std::uint32_t>(own), 1U, max_window);
+    const auto kept = kept_part * own;
     made.kept = std::clamp(static_cast<std::uint32_t>(kept), 1U, made.window);
     if (kept < 1.0)
         made.replicas *= kept;
--- a/modules/turmericlane_forwarding/searchers/connection_share.h
+++ b/modules/turmericlane_forwarding/searchers/connection_share.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet_division.h"
 #include "searcher.h"
 
 #include <cstdint>
@@ -15,7 +16,8 @@
 {
     /** Connections to each replica that it may use at once; at least 1. */
     std::uint32_t window = 1;
-    /** Of these, the ones that it keeps while they are idle; at least 1. */
+    /** Of these, the ones that it keeps while they are idle; 0 if it opens one
+        for each request. */
     std::uint32_t kept = 1;
     /** Replicas that it uses on average; some instances use one more than
         others. */
@@ -30,11 +32,13 @@
     connections at once. With more instances than that, each uses some of the
     replicas, and at least one.
 
-    @param limit      connections that a searcher accepts from all callers
-    @param instances  live instances, this one included; at least 1
-    @param replicas   replicas of the service */
+    An instance that is not named to callers keeps none.
+
+    @param limit     connections that a searcher accepts from all callers
+    @param fleet     how the instances divide them
+    @param replicas  replicas of the service */
 connection_share share_connections(
-    std::uint32_t limit, std::uint32_t instances, std::size_t replicas);
+    std::uint32_t limit, const fleet_division& fleet, std::size_t replicas);
 
 /** Which instance plans its connections. */
 struct connection_owner
--- a/modules/turmericlane_forwarding/searchers/searcher_registry.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.cpp
@@ -94,6 +94,18 @@
     return found->second;
 }
 
+std::map<std::string, std::size_t>
+searcher_registry::count_by_data_centre() const
+{
+    std::map<std::string, std::size_t> made;
+    for (const auto& [service, all] : by_service_)
+    {
+        for (const auto& it : all)
+            ++made[it->entry().data_centre];
+    }
+    return made;
+}
+
 void searcher_registry::for_each(
     const std::function<void(const std::shared_ptr<searcher>&)>& call) const
 {
--- a/modules/turmericlane_forwarding/searchers/searcher_registry.h
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.h
@@ -70,6 +70,9 @@
     std::span<const std::shared_ptr<searcher>>
     of_service(const std::string& service) const;
 
+    /** Number of searchers that get new work, by data centre. */
+    std::map<std::string, std::size_t> count_by_data_centre() const;
+
     /** Calls a function for each searcher. */
     void for_each(const std::function<void(const std::shared_ptr<searcher>&)>&
                       call) const;
--- a/modules/turmericlane_forwarding/tests/searcher_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/searcher_tests.cpp
@@ -213,7 +213,9 @@
     {
         const auto name = "10.0.0." + std::to_string(i);
         plan_connections(
-            replicas, share_connections(limit, instances, replicas.size()),
+            replicas,
+            share_connections(
+                limit, {instances, instances, true}, replicas.size()),
             {name, data_centres[i % 5]});
         std::uint32_t own = 0;
         for (const auto& it : replicas)
@@ -230,9 +232,39 @@
     }
 }
 
+// Guards against more connections or repeats than allowed where a few
+// instances do most of the work and callers still use the others.
+TEST_CASE("named and other instances together stay within the limits")
+{
+    constexpr std::uint32_t limit = 76;
+    constexpr std::uint32_t instances = 87;
+    constexpr std::uint32_t named = 10;
+    const auto replicas =
+        make_replicas({"north", "south", "east"}, time_point{1h});
+    std::uint32_t at_once = 0;
+    std::uint32_t kept = 0;
+    double parts = 0.0;
+    for (std::uint32_t i = 0; i < instances; ++i)
+    {
+        const fleet_division fleet{instances, named, i < named};
+        plan_connections(
+            replicas, share_connections(limit, fleet, replicas.size()),
+            {"10.0.0." + std::to_string(i), "north"});
+        CHECK(replicas[0]->window() >= 1);
+        CHECK(replicas[0]->preferred() == fleet.self_named);
+        at_once += fleet.self_named ? replicas[0]->window() : 0;
+        kept += replicas[0]->kept();
+        parts += own_part(fleet);
+    }
+    CHECK(at_once <= limit * 3 / 4);
+    CHECK(kept <= limit / 2);
+    CHECK(kept >= limit / 4);
+    CHECK(parts == doctest::Approx(1.0));
+}
+
 TEST_CASE("a small fleet keeps connections to every replica")
 {
-    const auto share = share_connections(31, 7, 3);
+    const auto share = share_connections(31, {7, 7, true}, 3);
     CHECK(share.replicas == 3.0);
     CHECK(share.kept == 1);
     CHECK(share.window == 3);
--- a/modules/turmericlane_forwarding/turmericlane_forwarding.h
+++ b/modules/turmericlane_forwarding/turmericlane_forwarding.h
@@ -20,4 +20,5 @@
 #include "routing/route_table.h"
 #include "routing/weighted_split.h"
 #include "searchers/connection_share.h"
+#include "searchers/fleet_division.h"
 #include "searchers/searcher_registry.h"
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 /** Instances that are assumed until the peers are known. */
 constexpr std::uint32_t assumed_instances = 8;
 constexpr auto time_to_know_peers = 3s;
+/** How often the instances that callers are told to use are chosen anew. */
+constexpr auto placement_period = 500ms;
 /** Many peers ask for the same changes at once; their answer is made once in
     this time. */
 constexpr auto feed_lifetime = 250ms;
@@ -65,6 +67,9 @@
     made.data_centre = settings.data_centre;
     made.nonce = settings.nonce;
     made.index = static_cast<ordinal>(settings.nonce);
+    constexpr double thousandths = 1000.0;
+    made.capacity =
+        static_cast<std::uint32_t>(settings.processor_cores * thousandths);
     return made;
 }
 
@@ -102,6 +107,7 @@
     , shutdown_(limits_of(settings_), time, *this)
     , timer_(loop, [this] { wake(); })
     , sweep_timer_(loop.get_executor())
+    , work_(settings_.processor_cores)
     , started_(time.now())
 {
     count_instances();
@@ -160,19 +166,12 @@
 
 std::vector<endpoint> gateway::usable_instances(std::size_t most)
 {
-    std::vector<endpoint> all;
-    if (shutdown_.phase() == shutdown_phase::serving)
-        all.push_back(settings_.where);
-    for (const auto& it : peers_.table().members())
-    {
-        if (it.state == member_state::live)
-            all.push_back(it.where);
-    }
+    auto all = named_;
     if (all.empty())
         all.push_back(settings_.where);
     if (all.size() <= most)
         return all;
-    // Callers spread over all instances, because each answer names others.
+    // Callers spread over all of them, because each answer names others.
     std::rotate(
         all.begin(),
         all.begin() +
@@ -366,6 +365,7 @@
 {
     const auto found = pending_.find(request);
     assert(found != pending_.end());
+    work_.on_attempt();
     pool_.send(attempt, found->second.text, target, time_left);
 }
 
@@ -541,7 +541,7 @@
     const auto replicas = registry_.of_service(service);
     plan_connections(
         replicas,
-        share_connections(limit.value_or(1), instances_, replicas.size()),
+        share_connections(limit.value_or(1), division_, replicas.size()),
         {settings_.where.address, settings_.data_centre});
     // Before the peers are known, too many would connect at once.
     if (!limit || clock_.now() - started_ < time_to_warm)
@@ -571,8 +571,13 @@
          {"incarnation", static_cast<std::int64_t>(value.incarnation)}});
 }
 
-void gateway::peer_state(const endpoint& peer, const datagram_header& state)
+void gateway::peer_state(
+    const endpoint& peer, std::uint64_t nonce, const datagram_header& state)
 {
+    if (const auto from = peers_.table().find_nonce(nonce))
+        placement_.on_use(
+            nonce, work_meter::cores(state.busy_percent, from->capacity),
+            clock_.now());
     if (!follower_)
         return;
     follower_->on_peer(peer, state.through, state.age);
@@ -594,9 +599,58 @@
         return made;
     made.through = follower_->through();
     made.age = follower_->age();
+    made.busy_percent = work_.busy_percent();
     return made;
 }
 
+void gateway::place_callers()
+{
+    placed_ = clock_.now();
+    std::vector<member> live;
+    if (shutdown_.phase() == shutdown_phase::serving)
+        live.push_back(peers_.table().self());
+    for (auto& it : peers_.table().members())
+    {
+        if (it.state == member_state::live)
+            live.push_back(std::move(it));
+    }
+    const auto chosen = placement_.choose(
+        std::move(live), registry_.count_by_data_centre(), placed_);
+    named_.clear();
+    fleet_division fleet;
+    fleet.instances = instances_;
+    fleet.self_named = false;
+    for (const auto& it : chosen)
+    {
+        named_.push_back(it.where);
+        fleet.self_named = fleet.self_named || it.nonce == settings_.nonce;
+    }
+    fleet.named =
+        std::clamp(static_cast<std::uint32_t>(named_.size()), 1U, instances_);
+    // The count of instances falls later than they disappear; a part that is
+    // not named exists only where some are left out.
+    if (fleet.self_named && chosen.size() == peers_.table().live_count())
+        fleet.named = instances_;
+    if (!fleet.self_named && fleet.named == fleet.instances)
+        ++fleet.instances;
+    divide(fleet);
+}
+
+void gateway::divide(const fleet_division& fleet)
+{
+    if (fleet == division_)
+        return;
+    division_ = fleet;
+    engine_.set_instances(1.0 / own_part(fleet));
+    log_.state(
+        gateway_event::work_divided,
+        {{"instances", static_cast<std::int64_t>(fleet.instances)},
+         {"named", static_cast<std::int64_t>(fleet.named)},
+         {"self_named", fleet.self_named},
+         {"busy_percent", static_cast<std::int64_t>(work_.busy_percent())}});
+    plan_all();
+}
+
 api_answer gateway::answer_peer(const caller_request& request)
 {
     if (request.path() != feed_path)
@@ -667,8 +721,7 @@
     }
     instances_ = std::max(seen, 1U);
     instances_lower_since_ = time_point::max();
-    engine_.set_instances(instances_);
-    plan_all();
+    place_callers();
 }
 
 void gateway::set_place()
@@ -730,7 +783,14 @@
             if (it->probe_due(now))
                 pool_.probe(it);
         });
+    work_.measure(now);
+    placement_.on_use(
+        settings_.nonce,
+        work_meter::cores(work_.busy_percent(), peers_.table().self().capacity),
+        now);
     count_instances();
+    if (now - placed_ >= placement_period)
+        place_callers();
     if (shutdown_.phase() == shutdown_phase::draining)
         shutdown_.on_in_flight(pending_.size() + listener_.busy());
     log_.flush();
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway_metrics.h"
 #include "gateway_settings.h"
 #include "local_api.h"
+#include "work_meter.h"
 
 #include <list>
 
@@ -160,14 +161,18 @@
 
     // Peers.
     void member_changed(const member& value) override;
-    void
-    peer_state(const endpoint& peer, const datagram_header& state) override;
+    void peer_state(
+        const endpoint& peer,
+        std::uint64_t nonce,
+        const datagram_header& state) override;
     void peer_feed(const feed_message& message) override;
     datagram_header own_state() const override;
     const std::string& feed_body(std::uint64_t after);
     api_answer answer_peer(const caller_request& request);
     void process_paused(duration gap) override;
     void count_instances();
+    void place_callers();
+    void divide(const fleet_division& fleet);
     void set_place();
 
     // Shutdown.
@@ -202,7 +207,13 @@
     caller_limits default_limits_;
     std::unordered_map<request_handle, pending_request> pending_;
     request_handle last_request_ = 0;
+    caller_placement placement_;
+    /** Instances that callers are told to use. */
+    std::vector<endpoint> named_;
+    time_point placed_{};
+    work_meter work_;
     std::uint32_t instances_ = 0;
+    fleet_division division_;
     bool members_changed_ = true;
     bool warmed_ = false;
     time_point instances_lower_since_ = time_point::max();
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -22,6 +22,8 @@
     endpoint where;
     protocol_names names;
     repeat_limits repeats;
+    /** Processor share of this instance, in cores. */
+    double processor_cores = 1.0;
     /** Calls that all instances together may make to the store. */
     double store_calls_per_second = 1000.0;
     /** From the first SIGTERM to the end of the process at most. */
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -40,6 +40,7 @@
     {gateway_event::searcher_added, "searcher_added"},
     {gateway_event::searcher_leaving, "searcher_leaving"},
     {gateway_event::member_changed, "member_changed"},
+    {gateway_event::work_divided, "work_divided"},
     {gateway_event::request_answered, "request_answered"},
     {gateway_event::request_refused, "request_refused"},
     {gateway_event::request_failed, "request_failed"},
--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -35,6 +35,7 @@
     searcher_added = 6201,
     searcher_leaving = 6202,
     member_changed = 6301,
+    work_divided = 6303,
     request_answered = 6401,
     request_refused = 6402,
     request_failed = 6403,
--- a/modules/turmericlane_gateway/peers/datagram_header.cpp
+++ b/modules/turmericlane_gateway/peers/datagram_header.cpp
@@ -18,7 +18,7 @@
 {
     boost::endian::little_uint32_buf_t mark;
     boost::endian::little_uint8_buf_t kind;
-    boost::endian::little_uint8_buf_t unused;
+    boost::endian::little_uint8_buf_t busy_percent;
     boost::endian::little_uint16_buf_t port;
     boost::endian::little_uint64_buf_t through;
     boost::endian::little_uint64_buf_t age_us;
@@ -38,7 +38,7 @@
     wire_header made;
     made.mark = format_mark;
     made.kind = static_cast<std::uint8_t>(header.kind);
-    made.unused = 0;
+    made.busy_percent = header.busy_percent;
     made.port = header.port;
     made.through = header.through;
     made.age_us = std::min<std::uint64_t>(
@@ -64,6 +64,7 @@
         return std::nullopt;
     datagram_header made;
     made.kind = static_cast<datagram_kind>(kind);
+    made.busy_percent = from.busy_percent.value();
     made.port = from.port.value();
     made.through = from.through.value();
     made.age =
--- a/modules/turmericlane_gateway/peers/datagram_header.h
+++ b/modules/turmericlane_gateway/peers/datagram_header.h
@@ -27,6 +27,8 @@
     duration age{};
     /** TCP and UDP port at which the sender serves its peers. */
     std::uint16_t port = 0;
+    /** Processor time that the sender uses, in percent of its share. */
+    std::uint8_t busy_percent = 0;
 
     friend bool
     operator==(const datagram_header&, const datagram_header&) = default;
--- a/modules/turmericlane_gateway/peers/peer_channel.cpp
+++ b/modules/turmericlane_gateway/peers/peer_channel.cpp
@@ -176,18 +176,24 @@
         return;
     }
     const auto payload = bytes.subspan(datagram_header_bytes);
+    std::uint64_t nonce = 0;
     if (head->kind == datagram_kind::feed)
     {
         if (const auto message = decode_message<feed_message>(payload))
+        {
+            nonce = message->header.nonce;
             listener_.peer_feed(message->body);
-        else
-            ++malformed_;
+        }
     }
     else if (const auto message = decode_message<membership_message>(payload))
+    {
+        nonce = message->header.nonce;
         table_.on_message(message->body);
-    else
+    }
+    if (nonce == 0)
         ++malformed_;
-    listener_.peer_state({from.address().to_string(), head->port, 0}, *head);
+    listener_.peer_state(
+        {from.address().to_string(), head->port, 0}, nonce, *head);
 }
 
 void peer_channel::on_timer()
--- a/modules/turmericlane_gateway/peers/peer_channel.h
+++ b/modules/turmericlane_gateway/peers/peer_channel.h
@@ -23,9 +23,12 @@
     /** A member was learned or its state changed. */
     virtual void member_changed(const member& value) = 0;
 
-    /** A peer states what it knows of the store. */
-    virtual void
-    peer_state(const endpoint& peer, const datagram_header& state) = 0;
+    /** A peer states what it knows of the store, and how busy it is.
+        @param nonce  the peer's process */
+    virtual void peer_state(
+        const endpoint& peer,
+        std::uint64_t nonce,
+        const datagram_header& state) = 0;
 
     /** A peer has sent items of the store. */
     virtual void peer_feed(const feed_message& message) = 0;
--- a/modules/turmericlane_gateway/tests/message_tests.cpp
+++ b/modules/turmericlane_gateway/tests/message_tests.cpp
@@ -1,4 +1,5 @@
 #include <turmericlane_gateway/gateway/request_text.h>
+#include <turmericlane_gateway/gateway/work_meter.h>
 #include <turmericlane_gateway/log/json_log.h>
 #include <turmericlane_gateway/peers/datagram_header.h>
 #include <turmericlane_gateway/peers/feed_body.h>
@@ -188,6 +189,7 @@
     header.through = 1ULL << 40U;
     header.age = 1234ms;
     header.port = 7740;
+    header.busy_percent = 37;
     auto buf = encode(header);
     CHECK(decode_datagram_header(buf) == header);
     CHECK_FALSE(decode_datagram_header(std::span(buf).first(23)));
@@ -198,6 +200,31 @@
     CHECK_FALSE(decode_datagram_header(buf));
 }
 
+// Guards against a burst that is noticed only after callers have asked again.
+TEST_CASE("the work of an instance is told in percent of its share")
+{
+    work_meter work(0.5);
+    time_point now{1h};
+    work.measure(now);
+    CHECK(work.busy_percent() == 0);
+    // 700 attempts a second need a fifth of half a core.
+    for (int i = 0; i < 400; ++i)
+    {
+        for (int n = 0; n < 35; ++n)
+            work.on_attempt();
+        now += 50ms;
+        work.measure(now);
+    }
+    CHECK(work.busy_percent() >= 18);
+    CHECK(work.busy_percent() <= 22);
+    CHECK(work_meter::cores(20, 500) == doctest::Approx(0.1));
+    for (int i = 0; i < 2'000'000; ++i)
+        work.on_attempt();
+    now += 1s;
+    work.measure(now);
+    CHECK(work.busy_percent() == 255);
+}
+
 // Guards against memory that a damaged size would ask for.
 TEST_CASE("compressed bodies are restored, damaged ones refused")
 {
--- a/modules/turmericlane_state/membership/member.cpp
+++ b/modules/turmericlane_state/membership/member.cpp
@@ -8,7 +8,7 @@
 
 // Upper estimates of what FlatBuffers adds: offsets, tables and padding.
 constexpr std::size_t message_overhead_bytes = 120;
-constexpr std::size_t member_overhead_bytes = 72;
+constexpr std::size_t member_overhead_bytes = 76;
 constexpr std::size_t suspicion_bytes = 24;
 
 } // namespace
--- a/modules/turmericlane_state/membership/member.h
+++ b/modules/turmericlane_state/membership/member.h
@@ -54,6 +54,8 @@
     /** Raised by the member itself to refute a suspicion. */
     std::uint32_t incarnation = 0;
     member_state state = member_state::live;
+    /** Processor share in thousandths of a core; 0 if not known. */
+    std::uint32_t capacity = 0;
 
     friend bool operator==(const member&, const member&) = default;
 };
--- a/modules/turmericlane_state/turmericlane_state.h
+++ b/modules/turmericlane_state/turmericlane_state.h
@@ -15,6 +15,7 @@
 #include "booking/booking_messages.h"
 #include "booking/ticket.h"
 #include "booking/ticket_issuer.h"
+#include "instances/caller_placement.h"
 #include "instances/instance_answer.h"
 #include "membership/member.h"
 #include "membership/membership_actions.h"
--- a/modules/turmericlane_wire/messages/message_decoder.cpp
+++ b/modules/turmericlane_wire/messages/message_decoder.cpp
@@ -107,6 +107,7 @@
     to.nonce = from.nonce();
     to.incarnation = from.incarnation();
     to.state = static_cast<member_state>(from.state());
+    to.capacity = from.capacity();
     return true;
 }
 
--- a/modules/turmericlane_wire/messages/message_encoder.cpp
+++ b/modules/turmericlane_wire/messages/message_encoder.cpp
@@ -78,7 +78,7 @@
     return schema::Createmember(
         to, address, from.where.peer_port, from.where.http_port, data_centre,
         from.index, from.nonce, from.incarnation,
-        static_cast<schema::member_state>(from.state));
+        static_cast<schema::member_state>(from.state), from.capacity);
 }
 
 } // namespace
--- a/modules/turmericlane_wire/tests/sample_messages.h
+++ b/modules/turmericlane_wire/tests/sample_messages.h
@@ -55,6 +55,7 @@
     made.members[0].nonce = 55;
     made.members[0].incarnation = 2;
     made.members[0].state = member_state::suspect;
+    made.members[0].capacity = 250;
     made.members[1].where = {"::1", 7003, 8003};
     made.members[1].nonce = 56;
     made.suspicions = {{54, 55, 2}};
