Prefer the replica in the own data centre over a somewhat faster one

Cause: with few named instances, each near a replica of every shard, half of the sub-requests still crossed data centres: a remote replica cost 0.12 of a request, less than the spread of the searchers' speeds.

Change: a remote replica costs 0.4 of a request.

--- a/modules/turmericlane_forwarding/searchers/replica_choice.cpp
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-/** Cost of the way to another data centre, relative to a usual request. */
-constexpr double remote_cost = 0.12;
+/** Cost of the way to another data centre and of its bytes, relative to a usual
+    request. */
+constexpr double remote_cost = 0.4;
 /** Spreads the choice between replicas of about equal cost. */
 constexpr double random_cost = 0.08;
 /** Cost of opening a connection, relative to a usual request. */
--- a/modules/turmericlane_forwarding/tests/searcher_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/searcher_tests.cpp
@@ -262,6 +262,27 @@
     CHECK(parts == doctest::Approx(1.0));
 }
 
+// Guards against sub-requests that cross data centres where a
+// replica as good is near.
+TEST_CASE("a near replica is preferred to a somewhat faster remote one")
+{
+    manual_clock time;
+    const auto replicas = make_replicas({"north", "south"}, time.now());
+    for (const auto& it : replicas)
+        it->set_window(4);
+    for (int i = 0; i < 20; ++i)
+    {
+        replicas[0]->on_answer(11ms, 10ms, time.now());
+        replicas[1]->on_answer(9ms, 10ms, time.now());
+    }
+    replica_choice choice("north", 1);
+    for (int i = 0; i < 20; ++i)
+        CHECK(choice.choose(replicas, {}, time.now()).target == replicas[0]);
+    for (int i = 0; i < 20; ++i)
+        replicas[0]->on_answer(30ms, 10ms, time.now());
+    CHECK(choice.choose(replicas, {}, time.now()).target == replicas[1]);
+}
+
 TEST_CASE("a small fleet keeps connections to every replica")
 {
     const auto share = share_connections(31, {7, 7, true}, 3);
