Notice dead searchers by missing acknowledgements; refuse what they prevent

An attempt there lasted until the request's end and counted against max_attempts; the searcher was used again 160 ms after each overdue attempt. With two shards down for seconds every gather was sent to the other 34 shards in vain and held until its deadline.

Change: an attempt whose bytes stay unacknowledged for 200 ms ends as "unacknowledged": its searcher is out of use, and it does not count as an execution. A searcher that answers nothing while requests are in flight is avoided until it answers. A request that needs a shard whose searchers are all out of use is refused at once as not run, with the time to the next trial as Retry-After; an answer that may leave such a shard out does not wait for it.

--- a/apps/turmericlane/log_explainer.cpp
+++ b/apps/turmericlane/log_explainer.cpp
@@ -34,6 +34,9 @@
         return "the searcher could not be reached";
     if (how == "turned_away")
         return "the searcher has too many connections";
+    if (how == "unacknowledged")
+        return "the searcher's host acknowledged nothing: it is down or cut "
+               "off";
     if (how == "broken")
         return "no usable answer; it may have run";
     return how;
--- a/modules/turmericlane_forwarding/engine/attempt_result.cpp
+++ b/modules/turmericlane_forwarding/engine/attempt_result.cpp
@@ -19,6 +19,8 @@
         return "not_sent";
     case attempt_outcome::turned_away:
         return "turned_away";
+    case attempt_outcome::unacknowledged:
+        return "unacknowledged";
     case attempt_outcome::broken:
         return "broken";
     }
--- a/modules/turmericlane_forwarding/engine/attempt_result.h
+++ b/modules/turmericlane_forwarding/engine/attempt_result.h
@@ -26,6 +26,9 @@
     /** The searcher closed a new connection before the request was sent: it has
         too many. */
     turned_away,
+    /** The searcher's host did not acknowledge the request: it is down or cut
+        off. The request may have run if only the acknowledgement was lost. */
+    unacknowledged,
     /** No usable answer; the request may have run. */
     broken
 };
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -33,6 +33,10 @@
 constexpr auto budget_recheck = 15ms;
 /** Parts that a result names, at most; logs are bounded. */
 constexpr std::size_t max_stated_parts = 4;
+/** A searcher that was replaced is published within about this time. */
+constexpr auto republication_time = 300ms;
+/** From the time at which a failed searcher is tried again to its use. */
+constexpr auto probe_time = 60ms;
 /** An overdue attempt that could not be hedged is looked at again. */
 constexpr auto hedge_recheck = 8ms;
 
@@ -55,9 +59,17 @@
 {
     return value == attempt_outcome::answered ||
            value == attempt_outcome::server_error ||
+           value == attempt_outcome::unacknowledged ||
            value == attempt_outcome::broken;
 }
 
+/** True if the attempt counts towards the searchers that may execute a part.
+    One that was cut off from its searcher does not. */
+bool counts_as_executed(attempt_outcome value)
+{
+    return may_have_run(value) && value != attempt_outcome::unacknowledged;
+}
+
 /** True if the request was sent. */
 bool was_sent(attempt_outcome value)
 {
@@ -164,6 +176,7 @@
         target.remove();
         break;
     case attempt_outcome::not_sent:
+    case attempt_outcome::unacknowledged:
         target.on_failure(now);
         break;
     }
@@ -235,14 +248,12 @@
     forward_result made;
     const auto needed =
         how.is_gathered() ? how.min_coverage * how.shards.size() - 1e-9 : 1.0;
-    const auto usable = how.is_gathered()
-                            ? usable_shards(how)
-                            : !searchers_.of_service(*service).empty();
+    const auto usable =
+        how.is_gathered() ? usable_shards(how) : is_usable(*service);
     if (static_cast<double>(usable) < needed)
     {
         made.failure = forward_failure::no_searcher;
-        // A searcher that was replaced is published within about a second.
-        made.retry_after = 300ms;
+        made.retry_after = time_to_searcher(how, service);
         actions_.finish(request.id, std::move(made));
         return true;
     }
@@ -266,18 +277,51 @@
 
 std::size_t forward_engine::usable_shards(const route& of) const
 {
-    std::size_t usable = 0;
+    return static_cast<std::size_t>(std::count_if(
+        of.shards.begin(), of.shards.end(),
+        [this](const std::string& it) { return is_usable(it); }));
+}
+
+bool forward_engine::is_usable(const std::string& service) const
+{
+    const auto replicas = searchers_.of_service(service);
+    return std::any_of(
+        replicas.begin(), replicas.end(),
+        [](const auto& it) { return !it->ejected(); });
+}
+
+duration forward_engine::time_to_searcher(
+    const route& of, const std::string* service) const
+{
+    const auto now = clock_.now();
+    const auto earliest = [&](const std::string& name)
+    {
+        auto made = now + republication_time;
+        for (const auto& it : searchers_.of_service(name))
+            made = std::min(made, it->probe_at() + probe_time);
+        return made;
+    };
+    if (service != nullptr)
+        return std::max<duration>(earliest(*service) - now, probe_time);
+    // All shards that are missing have to be back.
+    auto latest = now + probe_time;
     for (const auto& it : of.shards)
     {
-        if (!searchers_.of_service(it).empty())
-            ++usable;
+        if (!is_usable(it))
+            latest = std::max(latest, earliest(it));
     }
-    return usable;
+    return latest - now;
 }
 
 void forward_engine::dispatch(request_state& of, std::size_t index)
 {
     auto& which = of.parts[index];
+    if (is_dispensable(of) && !is_usable(*which.service))
+    {
+        // The answer need not wait for a shard that is known to be down.
+        fail_part(of, index);
+        return;
+    }
     const auto replicas = searchers_.of_service(*which.service);
     replica_choice::needs wanted;
     wanted.tried = which.tried;
@@ -304,6 +348,15 @@
     send(of, index, chosen.target);
 }
 
+bool forward_engine::is_dispensable(const request_state& of) const
+{
+    if (!of.request.how->is_gathered())
+        return false;
+    const gather_progress without_one{
+        of.parts.size(), 0, of.parts_failed + 1, duration::zero()};
+    return decide(without_one, of.limits) != gather_decision::fail;
+}
+
 void forward_engine::send(
     request_state& of, std::size_t index, const std::shared_ptr<searcher>& to)
 {
@@ -315,7 +368,7 @@
     which.last_sent = now;
     which.tried.push_back(to);
     which.attempts.push_back(id);
-    to->on_start();
+    to->on_start(now);
     attempts_.emplace(
         id, attempt_state{of.request.id, index, to, of.timing, now});
     if (which.tried.size() == 1)
@@ -363,7 +416,7 @@
     auto& which = of.parts[index];
     const auto how = result.outcome;
     of.may_have_run = of.may_have_run || may_have_run(how);
-    if (may_have_run(how))
+    if (counts_as_executed(how))
         ++which.executed;
     else
         ++which.rejected;
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -175,6 +175,14 @@
     duration queue_wait(const route& of, const std::string& service);
     bool refused(const forward_request& request, const std::string* service);
     std::size_t usable_shards(const route& of) const;
+    /** True if the request can be answered without one more part. */
+    bool is_dispensable(const request_state& of) const;
+    /** True if a searcher of the service is not out of use. */
+    bool is_usable(const std::string& service) const;
+    /** When a searcher of each service that a request needs may be in use
+        again. */
+    duration
+    time_to_searcher(const route& of, const std::string* service) const;
     void dispatch(request_state& of, std::size_t index);
     void send(
         request_state& of,
--- a/modules/turmericlane_forwarding/searchers/searcher.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher.cpp
@@ -29,6 +29,9 @@
 /** Longer than the pauses of a garbage collection. */
 constexpr auto overdue_avoidance = 160ms;
 constexpr double overdue_cost = 20.0;
+/** Silence for longer than this multiple of the usual latency is not the time
+    that a request takes. */
+constexpr int silent_multiple = 4;
 /** Time out of use after the first failure; it doubles up to the longest. */
 constexpr auto first_ejection = 150ms;
 constexpr auto longest_ejection = 3s;
@@ -80,8 +83,10 @@
     removed_ = false;
 }
 
-void searcher::on_start() noexcept
+void searcher::on_start(time_point now) noexcept
 {
+    if (in_flight_ == 0)
+        waiting_since_ = now;
     ++in_flight_;
     ++sent_since_load_;
 }
@@ -96,6 +101,8 @@
 {
     failures_ = 0;
     last_answer_ = now;
+    waiting_since_ = now;
+    usual_ = usual;
     note_failure(false, now);
     avoided_until_ = {};
     ejected_ = false;
@@ -145,12 +152,14 @@
 void searcher::on_error(time_point now) noexcept
 {
     last_answer_ = now;
+    waiting_since_ = now;
     note_failure(true, now);
 }
 
 void searcher::on_shed(time_point now) noexcept
 {
     last_answer_ = now;
+    waiting_since_ = now;
     avoided_until_ = std::max(avoided_until_, now + shed_avoidance);
     note_failure(true, now);
 }
@@ -209,9 +218,21 @@
     if (now < warm_at_)
         made *= warm_up_cost;
     made += failure_cost * failure_rate(now);
-    if (now < avoided_until_)
+    if (avoided(now))
         made += overdue_cost;
     return made;
 }
 
+duration searcher::silent_for(time_point now) const noexcept
+{
+    return in_flight_ == 0 ? duration::zero() : now - waiting_since_;
+}
+
+bool searcher::avoided(time_point now) const noexcept
+{
+    const auto longest =
+        std::max<duration>(overdue_avoidance, usual_ * silent_multiple);
+    return now < avoided_until_ || silent_for(now) > longest;
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -92,7 +92,7 @@
     }
 
     /** A request is sent. */
-    void on_start() noexcept;
+    void on_start(time_point now) noexcept;
 
     /** A request ended, in whatever way. */
     void on_end() noexcept;
@@ -147,6 +147,12 @@
         return ejected_ && now >= probe_at_;
     }
 
+    /** When a connection to the ejected searcher is tried. */
+    time_point probe_at() const noexcept
+    {
+        return probe_at_;
+    }
+
     /** Failures since the last answer. */
     std::uint32_t failures() const noexcept
     {
@@ -157,7 +163,12 @@
         speed, whose cost is 1. */
     double cost(time_point now) const noexcept;
 
+    /** Time since it answered last while requests were in flight; zero if none
+        is. */
+    duration silent_for(time_point now) const noexcept;
+
 private:
+    bool avoided(time_point now) const noexcept;
     void note_failure(bool failed, time_point now) noexcept;
     double slowness(time_point now) const noexcept;
     double failure_rate(time_point now) const noexcept;
@@ -170,6 +181,10 @@
     std::uint32_t in_flight_ = 0;
     std::uint32_t failures_ = 0;
     time_point last_answer_{};
+    /** When requests in flight began to wait for an answer, any answer. */
+    time_point waiting_since_{};
+    /** Usual latency of the requests that it answered. */
+    duration usual_{};
     double slowness_ = 1.0;
     time_point slowness_at_;
     /** Smoothed share of the requests that it refused or failed. */
--- a/modules/turmericlane_forwarding/tests/engine_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/engine_tests.cpp
@@ -124,6 +124,49 @@
     CHECK(world.attempts.size() == 2);
 }
 
+// Guards against a part that is given up because two of its three searchers
+// lost power: neither has executed it.
+TEST_CASE("an attempt at a searcher that is cut off does not count")
+{
+    virtual_searchers world;
+    add_shards(world, 1, 3);
+    for (const auto* it : {"s0-0", "s0-1"})
+        world.scripts[it] = always(attempt_outcome::unacknowledged, 200ms);
+    const auto how = world.gathered(1, 1.0);
+    std::size_t most_attempts = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        world.attempts.clear();
+        const auto id = world.start(how);
+        world.run(600ms);
+        REQUIRE(world.results.contains(id));
+        CHECK(world.results[id].failure == forward_failure::none);
+        most_attempts = std::max(most_attempts, world.attempts.size());
+    }
+    CHECK(most_attempts >= 3);
+    // Both are out of use from then on.
+    world.attempts.clear();
+    for (int i = 0; i < 5; ++i)
+        world.start(how);
+    for (const auto& it : world.attempts)
+        CHECK(it.searcher == "s0-2");
+}
+
+// Guards against an order that runs twice because only an acknowledgement was
+// lost.
+TEST_CASE("a cut-off attempt may have run")
+{
+    virtual_searchers world;
+    world.add("s", "a");
+    world.add("s", "b");
+    for (const auto* it : {"a", "b"})
+        world.scripts[it] = always(attempt_outcome::unacknowledged, 200ms);
+    const auto id = world.start(world.single("s", repetition::at_most_once));
+    world.run(1s);
+    CHECK(world.attempts.size() == 1);
+    CHECK(world.results[id].execution == outcome::may_have_run);
+}
+
 TEST_CASE("a rejected attempt does not count as executed")
 {
     virtual_searchers world;
@@ -222,6 +265,55 @@
     CHECK(world.attempts.empty());
 }
 
+// Guards against work at 34 shards, and a wait for the deadline, for an answer
+// that two dead shards make impossible.
+TEST_CASE("a request that dead shards make impossible is refused at once")
+{
+    virtual_searchers world;
+    add_shards(world, 10, 2);
+    const auto how = world.gathered(10, 0.9);
+    for (const auto* it : {"s0-0", "s0-1", "s1-0", "s1-1"})
+        world.scripts[it] = always(attempt_outcome::not_sent);
+    const auto first = world.start(how, 400ms);
+    world.run(500ms);
+    CHECK(world.results[first].failure != forward_failure::none);
+    world.attempts.clear();
+    const auto second = world.start(how, 400ms);
+    REQUIRE(world.results.contains(second));
+    CHECK(world.took[second] == duration::zero());
+    CHECK(world.attempts.empty());
+    CHECK(world.results[second].failure == forward_failure::no_searcher);
+    CHECK(world.results[second].execution == outcome::not_run);
+    CHECK(world.results[second].retry_after >= 50ms);
+    CHECK(world.results[second].retry_after <= 3100ms);
+    // One of them is back.
+    for (const auto& it : world.registry.of_service("s1"))
+        it->on_reachable();
+    world.scripts.erase("s1-0");
+    world.scripts.erase("s1-1");
+    const auto third = world.start(how, 400ms);
+    world.run(500ms);
+    CHECK(world.results[third].failure == forward_failure::none);
+    CHECK(world.results[third].missing_parts == 1);
+}
+
+// Guards against answers that wait until their target for a dead shard.
+TEST_CASE("an answer does not wait for a shard that is known to be down")
+{
+    virtual_searchers world;
+    add_shards(world, 10, 2);
+    const auto how = world.gathered(10, 0.9);
+    warm_up(world, how);
+    for (const auto& it : world.registry.of_service("s0"))
+        it->on_failure(world.time.now());
+    const auto id = world.start(how);
+    world.run(20ms);
+    REQUIRE(world.results.contains(id));
+    CHECK(world.results[id].failure == forward_failure::none);
+    CHECK(world.results[id].missing_parts == 1);
+    CHECK(world.attempts.size() == 9);
+}
+
 // Guards against failing a whole answer because the budget of repeats is
 // empty for a moment.
 TEST_CASE("a retry that the budget does not allow yet is postponed")
--- a/modules/turmericlane_forwarding/tests/searcher_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/searcher_tests.cpp
@@ -190,7 +190,7 @@
     const auto replicas = make_replicas({"north"}, time.now());
     replica_choice choice("north", 1);
     replicas[0]->set_window(1);
-    replicas[0]->on_start();
+    replicas[0]->on_start(time.now());
     using outcome = replica_choice::outcome;
     CHECK(choice.choose(replicas, {}, time.now()).result == outcome::busy);
     replica_choice::needs wanted;
@@ -262,6 +262,44 @@
     CHECK(parts == doctest::Approx(1.0));
 }
 
+// Guards against one more stuck request every 160 ms at a searcher that hangs.
+TEST_CASE("a searcher that leaves requests unanswered is avoided")
+{
+    manual_clock time;
+    const auto replicas = make_replicas({"north", "south"}, time.now());
+    for (const auto& it : replicas)
+    {
+        it->set_window(4);
+        it->on_answer(10ms, 10ms, time.now());
+    }
+    replica_choice choice("north", 1);
+    replicas[0]->on_start(time.now());
+    time.advance(100ms);
+    CHECK(choice.choose(replicas, {}, time.now()).target == replicas[0]);
+    for (int i = 0; i < 10; ++i)
+    {
+        time.advance(100ms);
+        CHECK(replicas[0]->silent_for(time.now()) > 160ms);
+        CHECK(choice.choose(replicas, {}, time.now()).target == replicas[1]);
+    }
+    replicas[0]->on_answer(10ms, 10ms, time.now());
+    replicas[0]->on_end();
+    CHECK(replicas[0]->silent_for(time.now()) == duration::zero());
+    CHECK(choice.choose(replicas, {}, time.now()).target == replicas[0]);
+}
+
+TEST_CASE("a request that usually takes long is not taken for silence")
+{
+    manual_clock time;
+    const auto replicas = make_replicas({"north"}, time.now());
+    replicas[0]->on_answer(120ms, 120ms, time.now());
+    replicas[0]->on_start(time.now());
+    time.advance(400ms);
+    CHECK(replicas[0]->cost(time.now()) < 3.0);
+    time.advance(100ms);
+    CHECK(replicas[0]->cost(time.now()) > 3.0);
+}
+
 // Guards against sub-requests that cross data centres where a
 // replica as good is near.
 TEST_CASE("a near replica is preferred to a somewhat faster remote one")
--- a/modules/turmericlane_gateway/http/client_connection.cpp
+++ b/modules/turmericlane_gateway/http/client_connection.cpp
@@ -14,7 +14,7 @@
 {
 
 /** Unacknowledged bytes end a connection after this time. */
-constexpr int user_timeout_ms = 2500;
+constexpr auto default_acknowledgement_time = std::chrono::milliseconds(2500);
 /** Largest answer that is taken, in bytes. */
 constexpr std::uint64_t max_body_bytes = 16ULL << 20U;
 constexpr std::uint32_t max_header_bytes = 64U << 10U;
@@ -28,6 +28,12 @@
     return made;
 }
 
+connection_end reason_of(boost::system::error_code ec)
+{
+    return ec == boost::asio::error::timed_out ? connection_end::unacknowledged
+                                               : connection_end::closed;
+}
+
 } // namespace
 
 client_connection::client_connection(
@@ -54,10 +60,7 @@
         return;
     }
     socket_.set_option(tcp::no_delay(true), ec);
-    // A failure leaves the system's default, which only delays the end.
-    setsockopt(
-        socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-        &user_timeout_ms, sizeof(user_timeout_ms));
+    set_acknowledgement_time(default_acknowledgement_time);
     socket_.async_connect(
         tcp::endpoint(ip, port),
         [self](boost::system::error_code failed)
@@ -89,10 +92,21 @@
         {
             self->writing_ = false;
             if (ec)
-                self->end(connection_end::closed);
+                self->end(reason_of(ec));
         });
 }
 
+void client_connection::set_acknowledgement_time(duration longest)
+{
+    const auto span =
+        std::chrono::duration_cast<std::chrono::milliseconds>(longest);
+    const auto user_timeout_ms = static_cast<unsigned>(span.count());
+    // A failure leaves the system's default, which only delays the end.
+    setsockopt(
+        socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+        &user_timeout_ms, sizeof(user_timeout_ms));
+}
+
 void client_connection::expect_another()
 {
     busy_ = true;
@@ -173,7 +187,7 @@
                 return;
         }
     }
-    end(connection_end::closed);
+    end(reason_of(ec));
 }
 
 void client_connection::parse()
--- a/modules/turmericlane_gateway/http/client_connection.h
+++ b/modules/turmericlane_gateway/http/client_connection.h
@@ -3,6 +3,8 @@
 #include "../loop/event_loop.h"
 #include "http_message.h"
 
+#include <turmericlane_core/turmericlane_core.h>
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -20,6 +22,8 @@
     not_opened,
     /** The other side closed or reset it. */
     closed,
+    /** The other side did not acknowledge what was sent. */
+    unacknowledged,
     /** Bytes that are no answer, or that belong to no request. */
     malformed
 };
@@ -70,6 +74,10 @@
         @param body_expected  false for a method whose answer has no body */
     void send(std::string text, bool body_expected);
 
+    /** Sets how long sent bytes may stay unacknowledged before the connection
+        ends; a few seconds if it is not called. */
+    void set_acknowledgement_time(duration longest);
+
     /** Expects one more answer to the present request: the last one belonged to
         an earlier request. */
     void expect_another();
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -28,6 +28,12 @@
 /** Connections beyond those that an instance keeps are closed after this
     time. */
 constexpr duration spare_time = 500ms;
+/** A request that the searcher's host has not acknowledged after this time was
+    lost, or the host is gone: the least time after which TCP repeats. */
+constexpr auto acknowledgement_time = 200ms;
+/** For a request larger than this, whose receiver may be slow to read it. */
+constexpr std::size_t small_request_bytes = 8U << 10U;
+constexpr auto large_acknowledgement_time = 2500ms;
 /** Lifetime of an idle connection if the searcher states none. */
 constexpr auto default_idle_time = 8s;
 
@@ -170,6 +176,10 @@
         append_field(text, pool_.names_.expected_searcher, target_->entry().id);
         text += request.tail;
         sent_ = true;
+        connection_->set_acknowledgement_time(
+            text.size() <= small_request_bytes
+                ? duration(acknowledgement_time)
+                : duration(large_acknowledgement_time));
         connection_->send(std::move(text), body_expected_);
     }
 
@@ -242,6 +252,8 @@
             fail(attempt_outcome::not_sent);
         else if (!sent_)
             fail(attempt_outcome::turned_away);
+        else if (why == connection_end::unacknowledged)
+            fail(attempt_outcome::unacknowledged);
         else
             fail(attempt_outcome::broken);
     }
--- a/modules/turmericlane_gateway/tests/gateway_tests.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_tests.cpp
@@ -313,6 +313,37 @@
     CHECK_FALSE(caller.ended);
 }
 
+// Guards against a wait for the deadline at a searcher whose host is gone. A
+// receiver that does not read leaves bytes unacknowledged, too.
+TEST_CASE("a connection ends when its bytes stay unacknowledged")
+{
+    struct recorder : client_listener
+    {
+        void on_open(client_connection& from) override
+        {
+            from.set_acknowledgement_time(50ms);
+            from.send(std::string(64U << 20U, 'x'), true);
+        }
+
+        void on_response(client_connection&, server_response&&) override {}
+
+        void on_end(client_connection&, connection_end why) override
+        {
+            ended = why;
+        }
+
+        std::optional<connection_end> ended;
+    };
+    event_context loop;
+    boost::asio::ip::tcp::acceptor silent(
+        loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    recorder got;
+    const auto connection = std::make_shared<client_connection>(loop, got);
+    connection->open("127.0.0.1", silent.local_endpoint().port());
+    REQUIRE(run_until(loop, [&] { return got.ended.has_value(); }));
+    CHECK(*got.ended == connection_end::unacknowledged);
+}
+
 // Guards against a log that holds up requests because nobody reads it.
 TEST_CASE("a log whose reader has stopped is bounded and never blocks")
 {
