Let instances that start together wait for the seeds' state

Change: an instance that starts for the first time and is no seed reads only if no peer has a state after 1 s. Two heartbeats a round in place of three.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -138,12 +138,13 @@
     return apis_.back().listen(address, port);
 }
 
-void gateway::follow(store_reader& reader, store_decoder& decoder)
+void gateway::follow(
+    store_reader& reader, store_decoder& decoder, duration patience)
 {
     decoder_ = &decoder;
     follower_ = std::make_unique<store_follower>(
         clock_, reader, static_cast<store_listener&>(*this), settings_.nonce);
-    follower_->start();
+    follower_->start(patience);
     set_timer();
 }
 
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -65,8 +65,12 @@
         std::uint16_t port,
         local_api::function answer);
 
-    /** Follows a store; both must outlive the gateway. */
-    void follow(store_reader& reader, store_decoder& decoder);
+    /** Follows a store; both must outlive the gateway.
+        @param patience  see store_follower::start */
+    void follow(
+        store_reader& reader,
+        store_decoder& decoder,
+        duration patience = duration::zero());
 
     /** Instances that may exist, from the settings. */
     void set_seeds(std::span<const listed_instance> seeds);
--- a/modules/turmericlane_gateway/peers/peer_channel.cpp
+++ b/modules/turmericlane_gateway/peers/peer_channel.cpp
@@ -19,7 +19,7 @@
 {
     membership_limits made;
     made.period = 500ms;
-    made.targets = 3;
+    made.targets = 2;
     made.timeout = 500ms;
     made.suspect_time = 700ms;
     made.report_window = 4s;
--- a/modules/turmericlane_state/store/store_follower.cpp
+++ b/modules/turmericlane_state/store/store_follower.cpp
@@ -69,9 +69,10 @@
 {
 }
 
-void store_follower::start()
+void store_follower::start(duration patience)
 {
     started_ = true;
+    call_not_before_ = clock_.now() + patience;
     read_if_due();
 }
 
--- a/modules/turmericlane_state/store/store_follower.h
+++ b/modules/turmericlane_state/store/store_follower.h
@@ -123,8 +123,10 @@
         store_listener& listener,
         std::uint64_t seed);
 
-    /** Starts to read. */
-    void start();
+    /** Starts to read.
+        @param patience  how long to wait for the state of a peer before: many
+                         instances that start at once would read the same */
+    void start(duration patience = duration::zero());
 
     /** The store has answered, or the call has failed. */
     void on_answer(store_answer&& answer);
--- a/modules/turmericlane_state/tests/store_tests.cpp
+++ b/modules/turmericlane_state/tests/store_tests.cpp
@@ -123,6 +123,41 @@
         std::vector<std::string>{"page ", "page a", "watch 10"});
 }
 
+// Guards against hundreds of calls when all instances start at once.
+TEST_CASE("a follower that waits for peers reads only if none has a state")
+{
+    manual_clock time;
+    SUBCASE("a peer has it")
+    {
+        instance one(time);
+        one.follower.start(1s);
+        time.advance(100ms);
+        one.follower.on_peer(peer, 10, 5ms);
+        time.advance(50ms);
+        one.follower.on_timer();
+        REQUIRE(one.listener.pulls.size() == 1);
+        feed_message state;
+        state.complete = true;
+        state.through = 10;
+        state.items = {{"a", 4, "1"}};
+        one.follower.on_pulled(state);
+        CHECK(one.listener.completions == 1);
+        CHECK(one.reader.calls.empty());
+    }
+    SUBCASE("none answers")
+    {
+        instance one(time);
+        one.follower.start(1s);
+        CHECK(one.follower.next_wakeup() == time.now() + 1s);
+        time.advance(990ms);
+        one.follower.on_timer();
+        CHECK(one.reader.calls.empty());
+        time.advance(10ms);
+        one.follower.on_timer();
+        CHECK(one.reader.calls.size() == 1);
+    }
+}
+
 TEST_CASE("lost history is replaced by a listing, which removes what is gone")
 {
     manual_clock time;
