Tell callers to come back later while the store is out of reach

Change: 1 s while the store is known to be out of reach, 250 ms at the start.

Callers wait for a third of their time at most, which is too short here; kept because the time told is nearer to the truth.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -35,6 +35,9 @@
 constexpr auto lower_count_delay = 30s;
 /** What a caller is told while no configuration is known. */
 constexpr auto starting_retry_after = 250ms;
+/** While the store is out of reach, too: outages last for seconds, and callers
+    come back once. */
+constexpr auto lost_retry_after = 1s;
 /** Time before the end of the shutdown in which requests finish. */
 constexpr auto drain_time = 1200ms;
 /** One of so many answers of the usual kind is logged. */
@@ -280,7 +283,10 @@
     }
     if (!routes_ || !follower_->complete())
     {
-        refuse(*from, 503, starting_retry_after);
+        refuse(
+            *from, 503,
+            follower_ && follower_->lost() ? duration(lost_retry_after)
+                                           : duration(starting_retry_after));
         return;
     }
     const auto* const how = routes_->find(request.host(), request.path());
--- a/modules/turmericlane_gateway/tests/gateway_tests.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_tests.cpp
@@ -231,6 +231,23 @@
     CHECK_FALSE(field(got->fields, "Retry-After").empty());
 }
 
+// Guards against callers that spend their only retry before the store is back.
+TEST_CASE_FIXTURE(
+    gateway_fixture, "while the store is out of reach callers come back later")
+{
+    REQUIRE_FALSE(instance.start().has_value());
+    instance.follow(store, store);
+    const auto starting = ask("/one/x");
+    REQUIRE(starting);
+    instance.on_store_failure(store_failure::unreachable);
+    const auto lost = ask("/one/x");
+    REQUIRE(lost);
+    CHECK(lost->status == 503);
+    const auto seconds = [](const server_response& of)
+    { return std::stod(std::string(field(of.fields, "Retry-After"))); };
+    CHECK(seconds(*lost) >= 3 * seconds(*starting));
+}
+
 TEST_CASE_FIXTURE(
     gateway_fixture, "a searcher stops working when the caller has left")
 {
--- a/modules/turmericlane_state/store/store_follower.h
+++ b/modules/turmericlane_state/store/store_follower.h
@@ -166,6 +166,12 @@
     /** Time since the store confirmed the state. */
     duration age() const;
 
+    /** True while the store is out of reach for this instance. */
+    bool lost() const noexcept
+    {
+        return lost_;
+    }
+
     /** True once the state has been complete. */
     bool complete() const noexcept
     {
