Name six instances at least, and cross data centres only for slow replicas

Two of the eight named instances were far from every searcher, and a replica in another data centre was taken for a third of a request's time less.

Change: six named instances in place of eight, so that all are near; a remote replica costs 0.8 of a request in place of 0.4.

--- a/modules/turmericlane_forwarding/searchers/replica_choice.cpp
+++ b/modules/turmericlane_forwarding/searchers/replica_choice.cpp
@@ -10,7 +10,7 @@
 
 /** Cost of the way to another data centre and of its bytes, relative to a usual
     request. */
-constexpr double remote_cost = 0.4;
+constexpr double remote_cost = 0.8;
 /** Spreads the choice between replicas of about equal cost. */
 constexpr double random_cost = 0.08;
 /** Cost of opening a connection, relative to a usual request. */
--- a/modules/turmericlane_state/instances/caller_placement.h
+++ b/modules/turmericlane_state/instances/caller_placement.h
@@ -17,7 +17,7 @@
 {
     /** Instances named at least, so that callers have others to turn to when
         some fail at once. */
-    std::size_t least_instances = 8;
+    std::size_t least_instances = 6;
     /** Processor share of the named instances, as a multiple of what all
         instances use: a burst comes faster than callers ask for addresses. */
     double headroom = 4.0;
--- a/modules/turmericlane_state/tests/placement_tests.cpp
+++ b/modules/turmericlane_state/tests/placement_tests.cpp
@@ -96,8 +96,7 @@
         named.begin(), named.end(),
         [](const member& it)
         { return it.data_centre == "west" || it.data_centre == "centre"; });
-    // Two of the large ones are in each data centre.
-    CHECK(far == 2);
+    CHECK(far == 0);
 }
 
 // Guards against callers that each instance sends elsewhere.
