Split the gateway and the forward engine

Change: request_recorder, caller_directory, feed_cache, instance_count and request_state; one to_milliseconds in place of three. No change of behaviour.

--- a/modules/turmericlane_core/turmericlane_core.h
+++ b/modules/turmericlane_core/turmericlane_core.h
@@ -12,6 +12,7 @@
 #include "kernel/service.h"
 #include "time/clock.h"
 #include "time/manual_clock.h"
+#include "time/milliseconds.h"
 #include "time/monotonic_clock.h"
 #include "verdict/rank.h"
 #include "verdict/reason.h"
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -1,7 +1,5 @@
 #include "forward_engine.h"
 
-#include "../gather/record_merge.h"
-
 #include <algorithm>
 #include <cassert>
 
@@ -31,8 +29,6 @@
 constexpr auto loser_time = 400ms;
 /** A retry that the budget did not allow is tried again. */
 constexpr auto budget_recheck = 15ms;
-/** Parts that a result names, at most; logs are bounded. */
-constexpr std::size_t max_stated_parts = 4;
 /** A searcher that was replaced is published within about this time. */
 constexpr auto republication_time = 300ms;
 /** From the time at which a failed searcher is tried again to its use. */
@@ -381,7 +377,7 @@
 }
 
 bool forward_engine::may_repeat(
-    const request_state& of, const part& which) const
+    const request_state& of, const request_part& which) const
 {
     const auto left = of.arrived + of.limits.give_up_after - clock_.now();
     return which.executed + which.running < of.request.how->max_attempts &&
@@ -560,83 +556,12 @@
 
 void forward_engine::finish(request_state& of, forward_failure failure)
 {
-    forward_result made;
-    made.failure = failure;
-    made.attempts = of.sent;
-    made.repeats = of.repeats;
-    const auto running = std::any_of(
-        of.parts.begin(), of.parts.end(),
-        [](const part& it) { return it.running > 0; });
-    if (failure == forward_failure::none)
-        made.execution = outcome::ran;
-    else if (of.may_have_run || running)
-        made.execution = outcome::may_have_run;
-    else if (failure == forward_failure::attempts_failed)
-    {
-        made.failure = forward_failure::searchers_full;
-        made.retry_after = 100ms;
-    }
-    if (!of.request.how->is_gathered())
-        made.answer = std::move(of.parts.front().answer);
-    else if (failure == forward_failure::none)
-    {
-        std::vector<std::string_view> bodies;
-        for (auto& it : of.parts)
-        {
-            if (it.state != part_state::arrived)
-                continue;
-            bodies.push_back(it.answer.body);
-            made.part_signatures.push_back(std::move(it.answer.signature));
-        }
-        made.missing_parts = of.parts.size() - bodies.size();
-        made.answer.status = 200;
-        made.answer.body = merge_records(bodies, of.request.how->top_count);
-    }
-    made.missing = missing_of(of);
+    auto made = make_result(of, failure, clock_.now());
     const auto ended = requests_.extract(of.request.id);
     release_attempts(of, failure == forward_failure::deadline);
     actions_.finish(ended.key(), std::move(made));
 }
 
-std::vector<missing_part>
-forward_engine::missing_of(const request_state& of) const
-{
-    std::vector<missing_part> made;
-    for (const auto& it : of.parts)
-    {
-        if (it.state == part_state::arrived)
-            continue;
-        if (made.size() == max_stated_parts)
-            break;
-        auto& stated = made.emplace_back();
-        stated.service = *it.service;
-        stated.state = name_of(it.state);
-        if (it.tried.empty())
-            continue;
-        stated.searcher = it.tried.back()->entry().id;
-        stated.since_sent = clock_.now() - it.last_sent;
-    }
-    return made;
-}
-
-std::string_view forward_engine::name_of(part_state value) noexcept
-{
-    switch (value)
-    {
-    case part_state::waiting:
-        return "waiting";
-    case part_state::running:
-        return "running";
-    case part_state::postponed:
-        return "postponed";
-    case part_state::arrived:
-        return "arrived";
-    case part_state::failed:
-        return "failed";
-    }
-    return "unknown";
-}
-
 void forward_engine::release_attempts(const request_state& of, bool at_once)
 {
     for (const auto& which : of.parts)
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -7,6 +7,7 @@
 #include "../searchers/replica_choice.h"
 #include "../searchers/searcher_registry.h"
 #include "forward_request.h"
+#include "request_state.h"
 
 #include <turmericlane_decisions/timing/timer_heap.h>
 
@@ -105,50 +106,6 @@
     }
 
 private:
-    enum class part_state : std::uint8_t
-    {
-        waiting,
-        running,
-        /** To be sent again as soon as the budget allows it. */
-        postponed,
-        arrived,
-        failed
-    };
-
-    static std::string_view name_of(part_state value) noexcept;
-
-    struct part
-    {
-        const std::string* service = nullptr;
-        part_state state = part_state::waiting;
-        /** Attempts under way. */
-        std::uint32_t running = 0;
-        /** Ended attempts that may have been executed. */
-        std::uint32_t executed = 0;
-        /** Ended attempts that were not executed. */
-        std::uint32_t rejected = 0;
-        time_point last_sent;
-        attempt_outcome postponed_after = attempt_outcome::broken;
-        std::vector<std::shared_ptr<searcher>> tried;
-        std::vector<attempt_handle> attempts;
-        searcher_answer answer;
-    };
-
-    struct request_state
-    {
-        forward_request request;
-        time_point arrived;
-        time_point check_at;
-        answer_limits limits;
-        hedge_timing* timing = nullptr;
-        std::vector<part> parts;
-        std::size_t parts_arrived = 0;
-        std::size_t parts_failed = 0;
-        std::uint32_t sent = 0;
-        std::uint32_t repeats = 0;
-        bool may_have_run = false;
-    };
-
     struct attempt_state
     {
         request_handle request = 0;
@@ -188,7 +145,7 @@
         request_state& of,
         std::size_t index,
         const std::shared_ptr<searcher>& to);
-    bool may_repeat(const request_state& of, const part& which) const;
+    bool may_repeat(const request_state& of, const request_part& which) const;
     void retry(request_state& of, std::size_t index, attempt_outcome after);
     void take_answer(request_state& of, std::size_t index, attempt_result&&);
     void fail_part(request_state& of, std::size_t index);
@@ -200,7 +157,6 @@
     /** @returns true if the request has ended and its state is gone */
     bool settle(request_state& of);
     void finish(request_state& of, forward_failure failure);
-    std::vector<missing_part> missing_of(const request_state& of) const;
     void release_attempts(const request_state& of, bool at_once);
     void pump(const std::string& service);
 
--- /dev/null
+++ b/modules/turmericlane_forwarding/engine/request_state.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "../attempts/hedge_timing.h"
+#include "../gather/answer_rule.h"
+#include "../searchers/searcher.h"
+#include "forward_request.h"
+
+#include <memory>
+#include <vector>
+
+namespace turmericlane
+{
+
+/** State of one part of a request. */
+enum class part_state : std::uint8_t
+{
+    waiting,
+    running,
+    /** To be sent again as soon as the budget allows it. */
+    postponed,
+    arrived,
+    failed
+};
+
+/** One part of a request: the only one, or that of one shard. */
+struct request_part
+{
+    const std::string* service = nullptr;
+    part_state state = part_state::waiting;
+    /** Attempts under way. */
+    std::uint32_t running = 0;
+    /** Ended attempts that may have been executed. */
+    std::uint32_t executed = 0;
+    /** Ended attempts that were not executed. */
+    std::uint32_t rejected = 0;
+    time_point last_sent;
+    attempt_outcome postponed_after = attempt_outcome::broken;
+    std::vector<std::shared_ptr<searcher>> tried;
+    std::vector<attempt_handle> attempts;
+    searcher_answer answer;
+};
+
+/** A request on its way through a forward_engine. */
+struct request_state
+{
+    forward_request request;
+    time_point arrived;
+    time_point check_at;
+    answer_limits limits;
+    hedge_timing* timing = nullptr;
+    std::vector<request_part> parts;
+    std::size_t parts_arrived = 0;
+    std::size_t parts_failed = 0;
+    std::uint32_t sent = 0;
+    std::uint32_t repeats = 0;
+    bool may_have_run = false;
+};
+
+/** Makes the final result of a request: the answer of its searcher or the
+    merged parts, and whether it may have been executed. Takes the bodies out of
+    the parts.
+    @param failure  why it ends, or none */
+forward_result
+make_result(request_state& of, forward_failure failure, time_point now);
+
+} // namespace turmericlane
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -1,6 +1,5 @@
 #include "gateway.h"
 
-#include "../peers/feed_body.h"
 #include "request_text.h"
 
 #include <algorithm>
@@ -20,70 +19,13 @@
 constexpr auto sweep_period = 50ms;
 /** Weight of one measurement in the smoothed lag. */
 constexpr int lag_weight = 2;
-/** Instances that are assumed until the peers are known. */
-constexpr std::uint32_t assumed_instances = 8;
-constexpr auto time_to_know_peers = 3s;
-/** How often the instances that callers are told to use are chosen anew. */
-constexpr auto placement_period = 500ms;
-/** Many peers ask for the same changes at once; their answer is made once in
-    this time. */
-constexpr auto feed_lifetime = 250ms;
 /** Connections are opened ahead of need from this time on. */
 constexpr auto time_to_warm = 1500ms;
-/** A lower number of instances is believed after this time: a partition must
-    not make an instance use the connections of those that it cannot see. */
-constexpr auto lower_count_delay = 30s;
 /** What a caller is told while no configuration is known. */
 constexpr auto starting_retry_after = 250ms;
 /** While the store is out of reach, too: outages last for seconds, and callers
     come back once. */
 constexpr auto lost_retry_after = 1s;
-/** Time before the end of the shutdown in which requests finish. */
-constexpr auto drain_time = 1200ms;
-/** One of so many answers of the usual kind is logged. */
-constexpr std::uint64_t usual_sample = 128;
-constexpr std::uint64_t repeat_sample = 16;
-
-std::int64_t milliseconds(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
-/** "service@searcher state ms", separated by commas. */
-std::string missing_text(const forward_result& result)
-{
-    std::string made;
-    for (const auto& it : result.missing)
-    {
-        if (!made.empty())
-            made += ", ";
-        made += it.service + "@" + it.searcher + " " + std::string(it.state) +
-                " " + std::to_string(milliseconds(it.since_sent));
-    }
-    return made;
-}
-
-member self_of(const gateway_settings& settings)
-{
-    member made;
-    made.where = settings.where;
-    made.data_centre = settings.data_centre;
-    made.nonce = settings.nonce;
-    made.index = static_cast<ordinal>(settings.nonce);
-    constexpr double thousandths = 1000.0;
-    made.capacity =
-        static_cast<std::uint32_t>(settings.processor_cores * thousandths);
-    return made;
-}
-
-shutdown_limits limits_of(const gateway_settings& settings)
-{
-    shutdown_limits made;
-    made.total = settings.shutdown_time;
-    made.leaving = std::max<duration>(
-        settings.shutdown_time - drain_time, settings.shutdown_time / 2);
-    return made;
-}
 
 } // namespace
 
@@ -96,6 +38,7 @@
     , clock_(time)
     , settings_(std::move(settings))
     , log_(log)
+    , recorder_(log, metrics_)
     , registry_(time, *this)
     , pool_(loop, time, settings_.names, *this)
     , engine_(
@@ -104,13 +47,14 @@
           registry_,
           *this,
           *this)
+    , directory_(self_of(settings_))
     , peers_(loop, time, self_of(settings_), settings_.nonce, *this)
     , listener_(loop, *this, time)
     , puller_(loop, *this)
     , shutdown_(limits_of(settings_), time, *this)
     , timer_(loop, [this] { wake(); })
     , sweep_timer_(loop.get_executor())
-    , work_(settings_.processor_cores)
+    , instances_(time.now())
     , started_(time.now())
 {
     count_instances();
@@ -170,26 +114,14 @@
 
 std::vector<endpoint> gateway::usable_instances(std::size_t most)
 {
-    auto all = named_;
-    if (all.empty())
-        all.push_back(settings_.where);
-    if (all.size() <= most)
-        return all;
-    // Callers spread over all of them, because each answer names others.
-    std::rotate(
-        all.begin(),
-        all.begin() +
-            static_cast<std::ptrdiff_t>(rotation_++ * most % all.size()),
-        all.end());
-    all.resize(most);
-    return all;
+    return directory_.addresses(most);
 }
 
 std::string gateway::metrics_text()
 {
     metrics_.version.set(
         routes_ ? static_cast<double>(routes_->configuration().version) : 0.0);
-    metrics_.instances.set(instances_);
+    metrics_.instances.set(instances_.value());
     metrics_.searchers.set(static_cast<double>(registry_.size()));
     metrics_.connections.set(static_cast<double>(pool_.connections()));
     metrics_.connections_opened.set(static_cast<double>(pool_.opened()));
@@ -238,7 +170,8 @@
 {
     log_.state(
         gateway_event::store_lost,
-        {{"why", to_string(why)}, {"age_ms", milliseconds(follower_->age())}});
+        {{"why", to_string(why)},
+         {"age_ms", to_milliseconds(follower_->age())}});
 }
 
 void gateway::store_returned()
@@ -326,22 +259,14 @@
     const auto found = pending_.find(from.request_number);
     if (found == pending_.end() || found->second.session.get() != &from)
         return;
-    metrics_.abandoned.add();
-    log_.detail(
-        gateway_event::request_abandoned,
-        {{"request", found->second.text.id},
-         {"route", found->second.route_name},
-         {"after_ms", milliseconds(clock_.now() - found->second.arrived)}});
+    recorder_.on_abandoned(ended(found->second));
     pending_.erase(found);
     engine_.on_caller_left(from.request_number);
 }
 
 void gateway::on_bad_request(unsigned status)
 {
-    metrics_.on_local_refusal(status);
-    log_.detail(
-        gateway_event::request_malformed,
-        {{"status", static_cast<std::int64_t>(status)}});
+    recorder_.on_malformed(status);
 }
 
 const caller_limits& gateway::limits() const
@@ -357,7 +282,7 @@
 void gateway::refuse(
     caller_session& from, unsigned status, duration retry_after)
 {
-    metrics_.on_local_refusal(status);
+    recorder_.on_local_refusal(status);
     std::string fields;
     if (status == 503)
         fields = retry_fields(retry_after);
@@ -372,7 +297,7 @@
 {
     const auto found = pending_.find(request);
     assert(found != pending_.end());
-    work_.on_attempt();
+    directory_.on_attempt();
     pool_.send(attempt, found->second.text, target, time_left);
 }
 
@@ -387,9 +312,7 @@
     assert(found != pending_.end());
     const auto ended = std::move(found->second);
     pending_.erase(found);
-    const auto took = clock_.now() - ended.arrived;
-    metrics_.on_result(result, took, took <= ended.target);
-    log_result(ended, result, took);
+    recorder_.on_result(this->ended(ended), result);
     // The answer may let the session start its next request, which must not
     // happen inside the engine.
     boost::asio::post(
@@ -426,64 +349,30 @@
         result.failure == forward_failure::deadline ? 504 : 502, {}, {});
 }
 
-void gateway::log_result(
-    const pending_request& of, const forward_result& result, duration took)
+ended_request gateway::ended(const pending_request& of) const
 {
-    const auto failed = result.failure != forward_failure::none;
-    const auto late = took > of.target;
-    if (!failed && !late && result.missing_parts == 0)
-    {
-        const auto every = result.repeats > 0 ? repeat_sample : usual_sample;
-        if (++samples_ % every != 0)
-            return;
-    }
-    auto what = gateway_event::request_answered;
-    if (failed)
-        what = result.execution == outcome::not_run
-                   ? gateway_event::request_refused
-                   : gateway_event::request_failed;
-    const auto missing = missing_text(result);
-    log_.detail(
-        what, {{"request", of.text.id},
-               {"route", of.route_name},
-               {"why", to_string(result.failure)},
-               {"execution", to_string(result.execution)},
-               {"took_ms", milliseconds(took)},
-               {"target_ms", milliseconds(of.target)},
-               {"missing", static_cast<std::int64_t>(result.missing_parts)},
-               {"missing_parts", missing},
-               {"attempts", static_cast<std::int64_t>(result.attempts)},
-               {"repeats", static_cast<std::int64_t>(result.repeats)},
-               {"retry_after_ms", milliseconds(result.retry_after)},
-               {"lag_ms", milliseconds(lag_)},
-               {"version",
-                static_cast<std::int64_t>(routes_->configuration().version)}});
+    ended_request made;
+    made.id = of.text.id;
+    made.route = of.route_name;
+    made.target = of.target;
+    made.took = clock_.now() - of.arrived;
+    made.version = routes_->configuration().version;
+    made.lag = lag_;
+    return made;
 }
 
 void gateway::repeated(
     const forward_request& request, const std::string& service, bool hedge)
 {
-    metrics_.on_repeat(hedge);
-    if (hedge && ++samples_ % repeat_sample != 0)
-        return;
-    log_.detail(
-        gateway_event::attempt_repeated,
-        {{"request", request.label}, {"service", service}, {"hedge", hedge}});
+    recorder_.on_repeat(request, service, hedge);
 }
 
 void gateway::attempt_failed(
     const forward_request& request, const searcher& target, attempt_outcome how)
 {
-    metrics_.on_attempt_failed(how);
     if (how == attempt_outcome::misdirected)
         registry_.on_misdirected(target.entry().id);
-    log_.detail(
-        gateway_event::attempt_failed,
-        {{"request", request.label},
-         {"service", target.entry().service},
-         {"searcher", target.entry().id},
-         {"how", to_string(how)},
-         {"failures", static_cast<std::int64_t>(target.failures())}});
+    recorder_.on_attempt_failed(request, target, how);
 }
 
 void gateway::searcher_added(const std::shared_ptr<searcher>& which)
@@ -582,9 +471,8 @@
     const endpoint& peer, std::uint64_t nonce, const datagram_header& state)
 {
     if (const auto from = peers_.table().find_nonce(nonce))
-        placement_.on_use(
-            nonce, work_meter::cores(state.busy_percent, from->capacity),
-            clock_.now());
+        directory_.on_peer(
+            nonce, state.busy_percent, from->capacity, clock_.now());
     if (!follower_)
         return;
     follower_->on_peer(peer, state.through, state.age);
@@ -606,13 +494,12 @@
         return made;
     made.through = follower_->through();
     made.age = follower_->age();
-    made.busy_percent = work_.busy_percent();
+    made.busy_percent = directory_.busy_percent();
     return made;
 }
 
 void gateway::place_callers()
 {
-    placed_ = clock_.now();
     std::vector<member> live;
     if (shutdown_.phase() == shutdown_phase::serving)
         live.push_back(peers_.table().self());
@@ -621,26 +508,9 @@
         if (it.state == member_state::live)
             live.push_back(std::move(it));
     }
-    const auto chosen = placement_.choose(
-        std::move(live), registry_.count_by_data_centre(), placed_);
-    named_.clear();
-    fleet_division fleet;
-    fleet.instances = instances_;
-    fleet.self_named = false;
-    for (const auto& it : chosen)
-    {
-        named_.push_back(it.where);
-        fleet.self_named = fleet.self_named || it.nonce == settings_.nonce;
-    }
-    fleet.named =
-        std::clamp(static_cast<std::uint32_t>(named_.size()), 1U, instances_);
-    // The count of instances falls later than they disappear; a part that is
-    // not named exists only where some are left out.
-    if (fleet.self_named && chosen.size() == peers_.table().live_count())
-        fleet.named = instances_;
-    if (!fleet.self_named && fleet.named == fleet.instances)
-        ++fleet.instances;
-    divide(fleet);
+    divide(directory_.choose(
+        std::move(live), registry_.count_by_data_centre(), instances_.value(),
+        clock_.now()));
 }
 
 void gateway::divide(const fleet_division& fleet)
@@ -654,7 +524,8 @@
         {{"instances", static_cast<std::int64_t>(fleet.instances)},
          {"named", static_cast<std::int64_t>(fleet.named)},
          {"self_named", fleet.self_named},
-         {"busy_percent", static_cast<std::int64_t>(work_.busy_percent())}});
+         {"busy_percent",
+          static_cast<std::int64_t>(directory_.busy_percent())}});
     plan_all();
 }
 
@@ -670,33 +541,16 @@
         return {400, {}, {}};
     if (!follower_ || !follower_->complete())
         return {503, {}, {}};
-    const auto body = feed_body(after);
+    const auto& body = feeds_.body(*follower_, peers_, after, clock_.now());
     if (body.empty())
         return {503, {}, {}};
     return {200, "application/octet-stream", body};
 }
 
-const std::string& gateway::feed_body(std::uint64_t after)
-{
-    const auto now = clock_.now();
-    auto& kept = kept_feed_;
-    if (kept.after == after && kept.through == follower_->through() &&
-        now - kept.made < feed_lifetime)
-        return kept.body;
-    auto message = follower_->feed_since(after);
-    // It may be handed out until the end of its lifetime.
-    message.age += feed_lifetime;
-    kept.after = after;
-    kept.through = message.through;
-    kept.made = now;
-    const auto encoded = peers_.encode_feed(message);
-    kept.body = encoded.empty() ? std::string() : compress_body(encoded);
-    return kept.body;
-}
-
 void gateway::process_paused(duration gap)
 {
-    log_.state(gateway_event::process_paused, {{"gap_ms", milliseconds(gap)}});
+    log_.state(
+        gateway_event::process_paused, {{"gap_ms", to_milliseconds(gap)}});
 }
 
 void gateway::count_instances()
@@ -709,26 +563,9 @@
         warmed_ = true;
         plan_all();
     }
-    auto seen = static_cast<std::uint32_t>(peers_.table().live_count());
-    if (now - started_ < time_to_know_peers)
-        seen = std::max(seen, assumed_instances);
-    if (seen == instances_)
-    {
-        instances_lower_since_ = time_point::max();
-        return;
-    }
-    if (seen < instances_)
-    {
-        instances_lower_since_ = std::min(instances_lower_since_, now);
-        // The assumed number ends with the start; a counted one is kept.
-        const auto assumed = instances_ == assumed_instances &&
-                             now - started_ < 2 * time_to_know_peers;
-        if (!assumed && now - instances_lower_since_ < lower_count_delay)
-            return;
-    }
-    instances_ = std::max(seen, 1U);
-    instances_lower_since_ = time_point::max();
-    place_callers();
+    const auto seen = static_cast<std::uint32_t>(peers_.table().live_count());
+    if (instances_.update(seen, now) || directory_.due(now))
+        place_callers();
 }
 
 void gateway::set_place()
@@ -790,14 +627,8 @@
             if (it->probe_due(now))
                 pool_.probe(it);
         });
-    work_.measure(now);
-    placement_.on_use(
-        settings_.nonce,
-        work_meter::cores(work_.busy_percent(), peers_.table().self().capacity),
-        now);
+    directory_.measure(now);
     count_instances();
-    if (now - placed_ >= placement_period)
-        place_callers();
     if (shutdown_.phase() == shutdown_phase::draining)
         shutdown_.on_in_flight(pending_.size() + listener_.busy());
     log_.flush();
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "../log/json_log.h"
+#include "../log/request_recorder.h"
+#include "../peers/feed_cache.h"
 #include "../peers/feed_puller.h"
 #include "../peers/peer_channel.h"
 #include "../searchers/searcher_pool.h"
 #include "../store/store_decoder.h"
+#include "caller_directory.h"
 #include "gateway_metrics.h"
 #include "gateway_settings.h"
 #include "local_api.h"
-#include "work_meter.h"
 
 #include <list>
 
@@ -113,15 +115,6 @@
     void pulled(const feed_message& message) override;
     void pull_failed() override;
 
-    /** An answer to a pull, kept for peers that ask the same. */
-    struct kept_feed
-    {
-        std::uint64_t after = 0;
-        std::uint64_t through = 0;
-        time_point made{};
-        std::string body;
-    };
-
     // Callers.
     void on_request(
         const std::shared_ptr<caller_session>& from,
@@ -141,8 +134,7 @@
     void abandon(attempt_handle attempt) override;
     void finish(request_handle request, forward_result&& result) override;
     void answer(const pending_request& to, const forward_result& result);
-    void log_result(
-        const pending_request& of, const forward_result& result, duration took);
+    ended_request ended(const pending_request& of) const;
     void repeated(
         const forward_request& request,
         const std::string& service,
@@ -171,7 +163,6 @@
         const datagram_header& state) override;
     void peer_feed(const feed_message& message) override;
     datagram_header own_state() const override;
-    const std::string& feed_body(std::uint64_t after);
     api_answer answer_peer(const caller_request& request);
     void process_paused(duration gap) override;
     void count_instances();
@@ -193,16 +184,18 @@
     gateway_settings settings_;
     json_log& log_;
     gateway_metrics metrics_;
+    request_recorder recorder_;
     searcher_registry registry_;
     searcher_pool pool_;
     forward_engine engine_;
+    caller_directory directory_;
     peer_channel peers_;
     http_listener listener_;
     std::list<local_api> apis_;
     std::unique_ptr<store_follower> follower_;
     store_decoder* decoder_ = nullptr;
     feed_puller puller_;
-    kept_feed kept_feed_;
+    feed_cache feeds_;
     shutdown_sequence shutdown_;
     wakeup_timer timer_;
     loop_timer sweep_timer_;
@@ -211,18 +204,10 @@
     caller_limits default_limits_;
     std::unordered_map<request_handle, pending_request> pending_;
     request_handle last_request_ = 0;
-    caller_placement placement_;
-    /** Instances that callers are told to use. */
-    std::vector<endpoint> named_;
-    time_point placed_{};
-    work_meter work_;
-    std::uint32_t instances_ = 0;
+    instance_count instances_;
     fleet_division division_;
     bool members_changed_ = true;
     bool warmed_ = false;
-    time_point instances_lower_since_ = time_point::max();
-    std::uint64_t rotation_ = 0;
-    std::uint64_t samples_ = 0;
     duration lag_{};
     time_point started_;
 };
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -32,4 +32,10 @@
     std::uint64_t nonce = 0;
 };
 
+/** This instance as its peers know it. */
+member self_of(const gateway_settings& settings);
+
+/** The phases of its shutdown. */
+shutdown_limits limits_of(const gateway_settings& settings);
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -50,11 +50,6 @@
     return std::chrono::seconds(std::clamp(made, 0, 3600));
 }
 
-std::int64_t milliseconds(duration span)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-}
-
 } // namespace
 
 /** A connection to a searcher and the attempt that it carries. */
@@ -172,7 +167,7 @@
         text += request.head;
         append_field(
             text, pool_.names_.time_left,
-            std::to_string(std::max<std::int64_t>(1, milliseconds(left))));
+            std::to_string(std::max<std::int64_t>(1, to_milliseconds(left))));
         append_field(text, pool_.names_.expected_searcher, target_->entry().id);
         text += request.tail;
         sent_ = true;
--- a/modules/turmericlane_state/tests/placement_tests.cpp
+++ b/modules/turmericlane_state/tests/placement_tests.cpp
@@ -165,3 +165,27 @@
     CHECK(placement.choose({}, searchers, start).empty());
     CHECK(placement.choose(fleet, {}, start).size() == 5);
 }
+
+// Guards against an instance that takes the connections of those that it
+// cannot see for a moment.
+TEST_CASE("a lower number of instances is believed only after a while")
+{
+    instance_count count(start);
+    CHECK(count.value() == 8);
+    CHECK_FALSE(count.update(1, start + 1s));
+    CHECK(count.update(87, start + 4s));
+    CHECK(count.value() == 87);
+    CHECK_FALSE(count.update(40, start + 10s));
+    CHECK_FALSE(count.update(40, start + 39s));
+    CHECK_FALSE(count.update(87, start + 39s));
+    CHECK_FALSE(count.update(40, start + 60s));
+    CHECK(count.update(40, start + 91s));
+    CHECK(count.value() == 40);
+}
+
+TEST_CASE("the assumed number of instances ends with the start")
+{
+    instance_count count(start);
+    CHECK(count.update(2, start + 4s));
+    CHECK(count.value() == 2);
+}
--- a/modules/turmericlane_state/turmericlane_state.h
+++ b/modules/turmericlane_state/turmericlane_state.h
@@ -17,6 +17,7 @@
 #include "booking/ticket_issuer.h"
 #include "instances/caller_placement.h"
 #include "instances/instance_answer.h"
+#include "instances/instance_count.h"
 #include "membership/member.h"
 #include "membership/membership_actions.h"
 #include "membership/membership_table.h"
