Name a leaving or lost instance no more at once

Cause: the named instances were chosen every 500 ms, so that an instance that got SIGTERM still named itself for that long; callers keep an answer for longer than it then runs. Found by reading the change.

Change: chosen anew with each change of a member and at the start of the shutdown. A leaving instance keeps its part of connections and repeats.

Measured: tests of the gateway pass.

--- a/modules/turmericlane_forwarding/engine/request_state.h
+++ b/modules/turmericlane_forwarding/engine/request_state.h
@@ -29,9 +29,10 @@
     part_state state = part_state::waiting;
     /** Attempts under way. */
     std::uint32_t running = 0;
-    /** Ended attempts that may have been executed. */
+    /** Ended attempts that may have been executed, but for those that were cut
+        off from their searcher. */
     std::uint32_t executed = 0;
-    /** Ended attempts that were not executed. */
+    /** Ended attempts that do not count as executed. */
     std::uint32_t rejected = 0;
     time_point last_sent;
     attempt_outcome postponed_after = attempt_outcome::broken;
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -500,17 +500,21 @@
 
 void gateway::place_callers()
 {
+    const auto serving = shutdown_.phase() == shutdown_phase::serving;
     std::vector<member> live;
-    if (shutdown_.phase() == shutdown_phase::serving)
+    if (serving)
         live.push_back(peers_.table().self());
     for (auto& it : peers_.table().members())
     {
         if (it.state == member_state::live)
             live.push_back(std::move(it));
     }
-    divide(directory_.choose(
+    const auto fleet = directory_.choose(
         std::move(live), registry_.count_by_data_centre(), instances_.value(),
-        clock_.now()));
+        clock_.now());
+    // A leaving instance keeps its part for the callers that still use it.
+    if (serving)
+        divide(fleet);
 }
 
 void gateway::divide(const fleet_division& fleet)
@@ -555,7 +559,8 @@
 
 void gateway::count_instances()
 {
-    if (members_changed_)
+    const auto changed = members_changed_;
+    if (changed)
         set_place();
     const auto now = clock_.now();
     if (!warmed_ && now - started_ >= time_to_warm)
@@ -564,7 +569,7 @@
         plan_all();
     }
     const auto seen = static_cast<std::uint32_t>(peers_.table().live_count());
-    if (instances_.update(seen, now) || directory_.due(now))
+    if (instances_.update(seen, now) || changed || directory_.due(now))
         place_callers();
 }
 
@@ -591,6 +596,7 @@
         gateway_event::shutdown_phase,
         {{"phase", to_string(shutdown_.phase())}});
     peers_.leave();
+    place_callers();
 }
 
 void gateway::drain()
--- a/modules/turmericlane_gateway/tests/message_tests.cpp
+++ b/modules/turmericlane_gateway/tests/message_tests.cpp
@@ -1,3 +1,4 @@
+#include <turmericlane_gateway/gateway/caller_directory.h>
 #include <turmericlane_gateway/gateway/request_text.h>
 #include <turmericlane_gateway/gateway/work_meter.h>
 #include <turmericlane_gateway/log/json_log.h>
@@ -200,6 +201,35 @@
     CHECK_FALSE(decode_datagram_header(buf));
 }
 
+// Guards against callers that are sent to an instance that stops before their
+// answer has expired.
+TEST_CASE("an instance that leaves or is lost is named no more")
+{
+    const time_point now{1h};
+    std::vector<member> fleet(3);
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        fleet[i].where = {"10.0.0." + std::to_string(i + 1), 1, 2};
+        fleet[i].nonce = i + 1;
+        fleet[i].capacity = 250;
+    }
+    caller_directory directory(fleet[0]);
+    // Nobody else is known.
+    CHECK(directory.addresses(64) == std::vector{fleet[0].where});
+    auto division = directory.choose(fleet, {}, 3, now);
+    CHECK(directory.addresses(64).size() == 3);
+    CHECK(division == fleet_division{3, 3, true});
+    // This instance leaves.
+    division = directory.choose({fleet[1], fleet[2]}, {}, 3, now);
+    const auto others = directory.addresses(64);
+    CHECK(others.size() == 2);
+    CHECK(std::count(others.begin(), others.end(), fleet[0].where) == 0);
+    CHECK_FALSE(division.self_named);
+    CHECK(own_part(division) > 0.0);
+    // Fewer are asked for than there are: each answer names others.
+    CHECK(directory.addresses(1) != directory.addresses(1));
+}
+
 // Guards against a burst that is noticed only after callers have asked again.
 TEST_CASE("the work of an instance is told in percent of its share")
 {
