--- a/modules/turmericlane_gateway/tests/gateway_tests.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_tests.cpp
@@ -43,7 +43,7 @@
     gateway_fixture()
         : null_descriptor(::open("/dev/null", O_WRONLY | O_CLOEXEC))
         , log(loop, time, null_descriptor, "test")
-        , port(free_port())
+        , port(next_port())
         , instance(loop, time, settings(), log)
     {
     }
@@ -53,7 +53,7 @@
         gateway_settings made;
         made.name = "test";
         made.data_centre = "north";
-        made.where = {"127.0.0.1", free_port(), port};
+        made.where = {own_address(), next_port(), port};
         made.names = test_names();
         made.nonce = 5;
         return made;
@@ -143,6 +143,17 @@
 
 } // namespace
 
+// Guards against a test that fails because another process on the machine holds
+// the port that it was given.
+TEST_CASE_FIXTURE(
+    gateway_fixture, "a port that another process holds is not in the way")
+{
+    tcp_acceptor other(loop.get_executor());
+    other.open(tcp::v4());
+    other.bind({boost::asio::ip::make_address("127.0.0.1"), port});
+    CHECK_FALSE(instance.start().has_value());
+}
+
 TEST_CASE_FIXTURE(gateway_fixture, "all parts are merged and named")
 {
     add("s0", "a", signed_answer("sig.0", record('1') + record('4')));
--- a/modules/turmericlane_gateway/tests/loopback.cpp
+++ b/modules/turmericlane_gateway/tests/loopback.cpp
@@ -1,13 +1,19 @@
 #include "loopback.h"
 
+#include <unistd.h>
+
 namespace turmericlane::tests
 {
 
 namespace
 {
 
-constexpr const char* loopback = "127.0.0.1";
 constexpr auto patience = std::chrono::seconds(20);
+constexpr std::uint16_t first_port = 20000;
+/** First number of the second part of the addresses; 127.0.0.1 is outside. */
+constexpr unsigned first_network = 128;
+/** Process ids on Linux have 22 bits. */
+constexpr unsigned process_id_mask = (1u << 22) - 1;
 
 } // namespace
 
@@ -25,13 +31,22 @@
     return made;
 }
 
-std::uint16_t free_port()
+const std::string& own_address()
+{
+    static const auto made = []
+    {
+        const auto id = static_cast<unsigned>(::getpid()) & process_id_mask;
+        return "127." + std::to_string(first_network + (id >> 16)) + "." +
+               std::to_string((id >> 8) & 0xff) + "." +
+               std::to_string(id & 0xff);
+    }();
+    return made;
+}
+
+std::uint16_t next_port()
 {
-    event_context loop;
-    tcp_acceptor probe(loop.get_executor());
-    probe.open(tcp::v4());
-    probe.bind(tcp::endpoint(boost::asio::ip::make_address(loopback), 0));
-    return probe.local_endpoint().port();
+    static std::uint16_t next = first_port;
+    return next++;
 }
 
 bool run_until(event_context& loop, const std::function<bool()>& condition)
@@ -51,10 +66,10 @@
     event_context& loop, const clock& time, std::string id, script how)
     : id_(std::move(id))
     , script_(std::move(how))
-    , port_(free_port())
+    , port_(next_port())
     , listener_(loop, *this, time)
 {
-    listener_.listen(loopback, port_);
+    listener_.listen(own_address(), port_);
 }
 
 searcher_entry standin_searcher::entry(const std::string& service) const
@@ -62,7 +77,7 @@
     searcher_entry made;
     made.id = id_;
     made.service = service;
-    made.address = loopback;
+    made.address = own_address();
     made.port = port_;
     made.data_centre = "north";
     made.slots = 3;
@@ -117,7 +132,7 @@
     : connection_(std::make_shared<client_connection>(
           loop, static_cast<client_listener&>(*this)))
 {
-    connection_->open(loopback, port);
+    connection_->open(own_address(), port);
 }
 
 standin_caller::~standin_caller()
--- a/modules/turmericlane_gateway/tests/loopback.h
+++ b/modules/turmericlane_gateway/tests/loopback.h
@@ -14,8 +14,12 @@
 /** Names for the tests; any will do. */
 protocol_names test_names();
 
-/** A port of the loopback interface that was free a moment ago. */
-std::uint16_t free_port();
+/** An address of the loopback interface that only this process uses, so that
+    sockets of tests that run at the same time can't take its ports. */
+const std::string& own_address();
+
+/** A port of own_address() that this process has not been given before. */
+std::uint16_t next_port();
 
 /** Runs a loop until a condition holds; gives up after many seconds, so that a
     failure shows as such. */
--- a/modules/turmericlane_gateway/tests/message_tests.cpp
+++ b/modules/turmericlane_gateway/tests/message_tests.cpp
@@ -1,3 +1,5 @@
+#include "loopback.h"
+
 #include <turmericlane_gateway/gateway/caller_directory.h>
 #include <turmericlane_gateway/gateway/request_text.h>
 #include <turmericlane_gateway/gateway/work_meter.h>
@@ -11,25 +13,12 @@
 #include <fstream>
 
 using namespace turmericlane;
+using turmericlane::tests::test_names;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-protocol_names make_names()
-{
-    protocol_names made;
-    made.request_id = "X-Id";
-    made.time_left = "X-Left";
-    made.expected_searcher = "X-Expect";
-    made.signature = "X-Signature";
-    made.not_run = "X-Not-Run";
-    made.load = "X-Load";
-    made.part_signatures = "X-Parts";
-    made.missing_parts = "X-Missing";
-    return made;
-}
-
 server_response make_response(unsigned status, const std::string& signature)
 {
     server_response made;
@@ -42,7 +31,7 @@
 
 attempt_outcome outcome_of(server_response response, bool part)
 {
-    return read_answer(std::move(response), make_names(), part).outcome;
+    return read_answer(std::move(response), test_names(), part).outcome;
 }
 
 caller_request make_request()
@@ -106,10 +95,10 @@
 TEST_CASE("an answer belongs to the request whose id it echoes")
 {
     auto response = make_response(200, "s.1");
-    CHECK(belongs_to(response, make_names(), "77"));
+    CHECK(belongs_to(response, test_names(), "77"));
     response.fields.insert("X-Id", "76");
-    CHECK_FALSE(belongs_to(response, make_names(), "77"));
-    CHECK(belongs_to(response, make_names(), "76"));
+    CHECK_FALSE(belongs_to(response, test_names(), "77"));
+    CHECK(belongs_to(response, test_names(), "76"));
 }
 
 TEST_CASE("a load is read whole or not at all")
@@ -126,7 +115,7 @@
 
 TEST_CASE("a request goes on without the fields of its connection")
 {
-    const auto made = make_outgoing(make_request(), make_names(), true);
+    const auto made = make_outgoing(make_request(), test_names(), true);
     CHECK(made.id == "77");
     CHECK(made.head.starts_with("GET /a/b?c=1&d=x%20y HTTP/1.1\r\n"));
     CHECK(made.head.find("Accept: */*\r\n") != std::string::npos);
@@ -142,23 +131,23 @@
     request.method = "POST";
     request.fields.insert("Transfer-Encoding", "chunked");
     request.body = "0123456789";
-    const auto made = make_outgoing(request, make_names(), false);
+    const auto made = make_outgoing(request, test_names(), false);
     CHECK(made.head.find("Transfer-Encoding") == std::string::npos);
     CHECK(made.tail == "Content-Length: 10\r\n\r\n0123456789");
     request.body.clear();
     CHECK(
-        make_outgoing(request, make_names(), false).tail ==
+        make_outgoing(request, test_names(), false).tail ==
         "Content-Length: 0\r\n\r\n");
 }
 
 TEST_CASE("the time left is a whole number or unknown")
 {
     auto request = make_request();
-    CHECK(read_time_left(request, make_names()) == duration(800ms));
+    CHECK(read_time_left(request, test_names()) == duration(800ms));
     for (const auto* it : {"", "-1", "1.5", "soon"})
     {
         request.fields.set("X-Left", it);
-        CHECK_FALSE(read_time_left(request, make_names()));
+        CHECK_FALSE(read_time_left(request, test_names()));
     }
 }
 
@@ -178,7 +167,7 @@
     result.part_signatures = {"s.1", "s.2"};
     result.missing_parts = 1;
     CHECK(
-        answer_fields(result, make_names()) ==
+        answer_fields(result, test_names()) ==
         "X-Parts: s.1, s.2\r\nX-Missing: 1\r\n");
     CHECK(retry_fields(250ms) == "Retry-After: 0.250\r\n");
 }
