Order short queues by arrival, not by the handles of parts

Cause: the ranks below urgent compete by arrival while their queues are short, but the number that was compared is the handle of a part. A handle holds a generation and a position that is reused, so that a part in an often reused position waited for all that came after it.

Change: rank_queue counts arrivals itself.

The test of the order failed before and passes now.

--- a/modules/turmericlane_decisions/owner/rank_queue.cpp
+++ b/modules/turmericlane_decisions/owner/rank_queue.cpp
@@ -42,7 +42,7 @@
 void rank_queue::push(rank work, entry added)
 {
     auto& state = ranks_[index_of(work)];
-    state.entries.push_back(added);
+    state.entries.push_back({added, ++arrivals_});
     ++state.waiting;
 }
 
@@ -55,7 +55,7 @@
 
 rank_queue::entry rank_queue::front(rank work) const
 {
-    return ranks_[index_of(work)].entries.front();
+    return ranks_[index_of(work)].entries.front().part;
 }
 
 void rank_queue::pop(rank work, bool withdrawn)
@@ -110,7 +110,8 @@
         if (it <= most_urgent || state.waiting == 0 ||
             state.waiting > short_queue_entries)
             continue;
-        if (front(it) < front(chosen))
+        const auto& other = ranks_[index_of(chosen)];
+        if (state.entries.front().arrival < other.entries.front().arrival)
             chosen = it;
     }
     return chosen;
--- a/modules/turmericlane_decisions/owner/rank_queue.h
+++ b/modules/turmericlane_decisions/owner/rank_queue.h
@@ -26,7 +26,8 @@
 class rank_queue
 {
 public:
-    /** Number of a part; it grows with arrival. */
+    /** Handle of a part. Handles are reused in any order, so that they say
+        nothing about the order of arrival. */
     using entry = std::uint64_t;
 
     /** Takes the guaranteed shares from a bundle.
@@ -68,9 +69,15 @@
     rank first_arrived(rank most_urgent) const;
     void decay(time_point now);
 
+    struct queued_entry
+    {
+        entry part = 0;
+        std::uint64_t arrival = 0;
+    };
+
     struct rank_state
     {
-        std::deque<entry> entries;
+        std::deque<queued_entry> entries;
         std::size_t waiting = 0;
         double min_share = 0.0;
         /** Recent slot time in seconds, decayed. */
@@ -78,6 +85,7 @@
     };
 
     std::array<rank_state, rank_count> ranks_;
+    std::uint64_t arrivals_ = 0;
     std::size_t capacity_ = 0;
     time_point decayed_{};
 };
--- a/modules/turmericlane_decisions/tests/owner_policy_tests.cpp
+++ b/modules/turmericlane_decisions/tests/owner_policy_tests.cpp
@@ -92,6 +92,21 @@
     CHECK(lent.next(now) == rank::urgent);
 }
 
+TEST_CASE("short queues below urgent are served in order of arrival")
+{
+    // Guards against an order by the handles of parts, which are reused: a part
+    // in an often reused position waited for all parts that came after it.
+    rank_queue tested;
+    tested.set_policy(bundle(), 100);
+    const auto now = time_point() + 1s;
+    tested.push(rank::archive, 900);
+    tested.push(rank::ordinary, 5);
+    CHECK(tested.next(now) == rank::archive);
+    tested.pop(rank::archive, false);
+    tested.push(rank::archive, 1);
+    CHECK(tested.next(now) == rank::ordinary);
+}
+
 TEST_CASE("a withdrawn entry does not count")
 {
     // Guards against a queue that stays full of cancelled work.
