Prefer an owner in the data centre of the searchers

The longer round trip also kept slots idle that the window of two requests beyond the slots should cover.

Change: the bundle may state the data centres of the ordinals (ordinal_data_centres, optional); the first candidate is then the best one in a data centre of the group's searchers. The map still depends on the bundle alone, so that the connection limits hold in every view. The diff of bundles accepts optional fields and arrays without keys.

--- a/bench/model/deployment.cpp
+++ b/bench/model/deployment.cpp
@@ -107,6 +107,8 @@
     made.first.version = 1;
     made.first.max_instances = instance_count + 1;
     made.first.data_centre_delay = between;
+    for (std::uint32_t it = 0; it < data_centre_count; ++it)
+        made.first.ordinal_data_centres.push_back(std::to_string(it));
     made.first.ranks = make_ranks();
     for (std::uint32_t it = 0; it < sizes.size(); ++it)
         made.first.services.push_back(make_service(it, sizes[it]));
--- a/modules/turmericlane_bundle/change/document_differ.cpp
+++ b/modules/turmericlane_bundle/change/document_differ.cpp
@@ -2,6 +2,7 @@
 
 #include "../parse/json_path.h"
 
+#include <algorithm>
 #include <map>
 
 namespace turmericlane
@@ -50,6 +51,15 @@
     return elements;
 }
 
+/** True for an array of objects; the elements of others have no key. */
+bool is_keyed(const nlohmann::json& value)
+{
+    return value.is_array() &&
+           std::all_of(
+               value.begin(), value.end(),
+               [](const nlohmann::json& it) { return it.is_object(); });
+}
+
 std::string key_text(const nlohmann::json& key)
 {
     return key.is_string() ? key.get<std::string>() : key.dump();
@@ -76,7 +86,7 @@
 {
     if (from.is_object() && to.is_object())
         walk_objects(from, to, path, subject);
-    else if (from.is_array() && to.is_array())
+    else if (is_keyed(from) && is_keyed(to))
         walk_arrays(from, to, path, subject);
     else if (from != to)
         note(change_kind::changed, subject, path, &from, &to);
@@ -88,11 +98,21 @@
     const std::string& path,
     change_subject subject)
 {
-    // Both documents were checked, so that their objects have equal fields.
+    // Both documents were checked: only an optional field can be in just one.
     for (const auto& it : from.items())
-        walk(
-            it.value(), to.at(it.key()), member_path(path, it.key()),
-            subject_of(it.key(), subject));
+    {
+        auto field = member_path(path, it.key());
+        auto found = to.find(it.key());
+        if (found == to.end())
+            note(change_kind::removed, subject, field, &it.value(), nullptr);
+        else
+            walk(it.value(), *found, field, subject_of(it.key(), subject));
+    }
+    for (const auto& it : to.items())
+        if (!from.contains(it.key()))
+            note(
+                change_kind::added, subject, member_path(path, it.key()),
+                nullptr, &it.value());
 }
 
 void document_differ::walk_arrays(
--- a/modules/turmericlane_bundle/model/bundle.h
+++ b/modules/turmericlane_bundle/model/bundle.h
@@ -92,6 +92,9 @@
     std::uint32_t owner_candidates = 3;
     /** One-way delay between data centres. */
     std::chrono::microseconds data_centre_delay{1000};
+    /** Data centres of the ordinals in turn: ordinal n stands in the one at n
+        modulo the size. Empty: not stated. A wrong one costs delay only. */
+    std::vector<std::string> ordinal_data_centres;
     std::array<rank_policy, rank_count> ranks;
     search_policy policy;
     std::vector<service_map> services;
--- a/modules/turmericlane_bundle/parse/bundle_reader.cpp
+++ b/modules/turmericlane_bundle/parse/bundle_reader.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::uint32_t max_delay_us = 10'000'000;
 constexpr std::uint32_t max_rank_ms = 600'000;
+constexpr std::size_t max_ordinal_data_centres = 1000;
 
 /** Tolerance for sums of shares that were rounded in decimal. */
 constexpr double share_tolerance = 1e-9;
@@ -49,12 +50,14 @@
         document, "",
         {"version", "max_instances", "owner_candidates", "data_centre_delay_us",
          "ranks", "policy", "services"},
-        errors_);
+        errors_, {"ordinal_data_centres"});
     made.version = reader.integer("version", 1, max_version);
     made.max_instances = reader.integer32("max_instances", 1, 100'000);
     made.owner_candidates = reader.integer32("owner_candidates", 1, 16);
     made.data_centre_delay = std::chrono::microseconds(
         reader.integer32("data_centre_delay_us", 0, max_delay_us));
+    made.ordinal_data_centres =
+        reader.optional_names("ordinal_data_centres", max_ordinal_data_centres);
     read_ranks(reader.value("ranks"), made);
     made.policy = read_policy(reader.value("policy"));
     read_services(reader, made);
--- a/modules/turmericlane_bundle/parse/object_reader.cpp
+++ b/modules/turmericlane_bundle/parse/object_reader.cpp
@@ -47,7 +47,8 @@
     const nlohmann::json& value,
     std::string path,
     std::initializer_list<std::string_view> fields,
-    read_errors& errors)
+    read_errors& errors,
+    std::initializer_list<std::string_view> optional)
     : value_(value)
     , path_(std::move(path))
     , errors_(errors)
@@ -57,8 +58,10 @@
         errors_.add(path_, type_error("an object", value));
         return;
     }
+    auto contains = [](const auto& names, const std::string& name)
+    { return std::find(names.begin(), names.end(), name) != names.end(); };
     for (const auto& it : value.items())
-        if (std::find(fields.begin(), fields.end(), it.key()) == fields.end())
+        if (!contains(fields, it.key()) && !contains(optional, it.key()))
             fail(it.key(), "unknown field");
     for (auto it : fields)
         if (!value.contains(it))
@@ -130,19 +133,35 @@
 std::string object_reader::name(std::string_view field) const
 {
     const auto* found = find(field);
-    if (found == nullptr)
-        return {};
-    if (!found->is_string())
+    return found == nullptr ? std::string() : read_name(path_of(field), *found);
+}
+
+std::vector<std::string>
+object_reader::optional_names(std::string_view field, std::size_t highest) const
+{
+    std::vector<std::string> made;
+    if (find(field) == nullptr)
+        return made;
+    for (const auto& it : array(field, 0, highest))
+        made.push_back(
+            read_name(element_path(path_of(field), made.size()), it));
+    return made;
+}
+
+std::string object_reader::read_name(
+    const std::string& path, const nlohmann::json& value) const
+{
+    if (!value.is_string())
     {
-        fail(field, type_error("a string", *found));
+        errors_.add(path, type_error("a string", value));
         return {};
     }
-    auto text = found->get<std::string>();
+    auto text = value.get<std::string>();
     if (!is_name(text))
-        fail(
-            field, found->dump() +
-                       " is not a name; accepted: a lower-case letter, then "
-                       "up to 63 of a-z, 0-9 and _");
+        errors_.add(
+            path, value.dump() +
+                      " is not a name; accepted: a lower-case letter, then "
+                      "up to 63 of a-z, 0-9 and _");
     return text;
 }
 
--- a/modules/turmericlane_bundle/parse/object_reader.h
+++ b/modules/turmericlane_bundle/parse/object_reader.h
@@ -26,13 +26,15 @@
 public:
     /** @param value   the object; must outlive the reader
         @param path    JSON pointer to it
-        @param fields  names of all fields; each must be there
-        @param errors  receives errors; must outlive the reader */
+        @param fields  names of the fields; each must be there
+        @param errors  receives errors; must outlive the reader
+        @param optional  names of further fields, which may be missing */
     object_reader(
         const nlohmann::json& value,
         std::string path,
         std::initializer_list<std::string_view> fields,
-        read_errors& errors);
+        read_errors& errors,
+        std::initializer_list<std::string_view> optional = {});
 
     /** An integer from lowest to highest. */
     std::uint64_t integer(
@@ -67,6 +69,10 @@
     const nlohmann::json& array(
         std::string_view field, std::size_t lowest, std::size_t highest) const;
 
+    /** Names, by the rules of name; empty if the field is missing. */
+    std::vector<std::string>
+    optional_names(std::string_view field, std::size_t highest) const;
+
     /** Any value; null after an error. */
     const nlohmann::json& value(std::string_view field) const;
 
@@ -80,6 +86,11 @@
     /** The field, or null after an error. */
     const nlohmann::json* find(std::string_view field) const;
 
+    /** The value as a name; after an error, which names the path, it may be
+        none. */
+    std::string
+    read_name(const std::string& path, const nlohmann::json& value) const;
+
     const nlohmann::json& value_;
     std::string path_;
     read_errors& errors_;
--- a/modules/turmericlane_bundle/tests/change_tests.cpp
+++ b/modules/turmericlane_bundle/tests/change_tests.cpp
@@ -150,6 +150,28 @@
     CHECK(lines == expected);
 }
 
+// Guards against a diff that throws on a field that only one version has.
+TEST_CASE("a diff shows that an optional field comes, changes and goes")
+{
+    auto before = norte_version(1);
+    auto after = before;
+    after["ordinal_data_centres"].push_back("bilbao");
+    auto changed = diff_bundles(before.dump(), "a", after.dump(), "b");
+    REQUIRE(changed);
+    REQUIRE(changed->size() == 1);
+    CHECK(changed->front().kind == change_kind::changed);
+    CHECK(changed->front().path == "/ordinal_data_centres");
+    before.erase("ordinal_data_centres");
+    auto added = diff_bundles(before.dump(), "a", after.dump(), "b");
+    REQUIRE(added);
+    REQUIRE(added->size() == 1);
+    CHECK(added->front().kind == change_kind::added);
+    auto removed = diff_bundles(after.dump(), "a", before.dump(), "b");
+    REQUIRE(removed);
+    REQUIRE(removed->size() == 1);
+    CHECK(removed->front().kind == change_kind::removed);
+}
+
 TEST_CASE("a diff of a bundle with an error names the file")
 {
     auto changes = diff_bundles(read_example("norte"), "a", "{}", "b.json");
--- a/modules/turmericlane_bundle/tests/parse_tests.cpp
+++ b/modules/turmericlane_bundle/tests/parse_tests.cpp
@@ -96,6 +96,19 @@
                   {"shipping_desk", 5, 5, 3, 40, 6, 1000, false}});
 }
 
+// Guards against an upgrade that refuses the bundle in force.
+TEST_CASE("a bundle may leave out the data centres of the ordinals")
+{
+    auto document = example_document("norte");
+    auto stated = parse_bundle(document.dump(), "norte");
+    REQUIRE(stated);
+    CHECK(stated->ordinal_data_centres.size() == 4);
+    document.erase("ordinal_data_centres");
+    auto silent = parse_bundle(document.dump(), "norte");
+    REQUIRE(silent);
+    CHECK(silent->ordinal_data_centres.empty());
+}
+
 TEST_CASE("replicas of a group in the examples survive a lost data centre")
 {
     for (const auto* name : {"jamaica", "norte"})
@@ -129,6 +142,10 @@
         {"/max_instances", 100001, "/max_instances", "1 to 100000"},
         {"/owner_candidates", 17, "/owner_candidates", "1 to 16"},
         {"/data_centre_delay_us", nullptr, "/data_centre_delay_us", "null"},
+        {"/ordinal_data_centres", "bilbao", "/ordinal_data_centres",
+         "must be an array, not string"},
+        {"/ordinal_data_centres/1", "Bilbao", "/ordinal_data_centres/1",
+         "not a name"},
         {"/ranks", 3, "/ranks", "must be an object, not number"},
         {"/ranks/urgent/target_ms", 0, "/ranks/urgent/target_ms", "1 to 600"},
         {"/ranks/archive/worth", -2, "/ranks/archive/worth", "out of range"},
--- a/modules/turmericlane_decisions/routing/owner_map.cpp
+++ b/modules/turmericlane_decisions/routing/owner_map.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace turmericlane
 {
@@ -32,22 +33,26 @@
 {
     instance_count_ = of.max_instances;
     candidate_count_ = std::min(of.owner_candidates, of.max_instances);
+    data_centres_ = of.ordinal_data_centres;
     auto same_fleet = earlier != nullptr &&
                       earlier->instance_count_ == instance_count_ &&
-                      earlier->candidate_count_ == candidate_count_;
+                      earlier->candidate_count_ == candidate_count_ &&
+                      earlier->data_centres_ == data_centres_;
     services_.reserve(of.services.size());
     for (const auto& it : of.services)
     {
-        auto size = it.groups.size() * candidate_count_;
+        service_row row{it.id, it.name, {}, {}};
+        row.near.reserve(it.groups.size());
+        for (const auto& group : it.groups)
+            row.near.push_back(near_data_centres(group));
         const auto* known = same_fleet ? earlier->find_row(it.id) : nullptr;
         if (known != nullptr && known->name == it.name &&
-            known->owners.size() == size)
+            known->near == row.near)
         {
             services_.push_back(*known);
             continue;
         }
-        service_row row{it.id, it.name, {}};
-        row.owners.reserve(size);
+        row.owners.reserve(it.groups.size() * candidate_count_);
         for (std::size_t n = 0; n < it.groups.size(); ++n)
             append_candidates(row, static_cast<std::uint32_t>(n));
         services_.push_back(std::move(row));
@@ -57,6 +62,17 @@
         [](const auto& a, const auto& b) { return a.id < b.id; });
 }
 
+std::vector<bool> owner_map::near_data_centres(const group& of) const
+{
+    std::vector<bool> made;
+    made.reserve(data_centres_.size());
+    for (const auto& name : data_centres_)
+        made.push_back(std::any_of(
+            of.searchers.begin(), of.searchers.end(),
+            [&](const searcher& it) { return it.data_centre == name; }));
+    return made;
+}
+
 void owner_map::append_candidates(
     service_row& row, std::uint32_t partition) const
 {
@@ -64,10 +80,15 @@
     auto seed = XXH3_64bits(name.data(), name.size());
     std::vector<std::pair<std::uint64_t, ordinal>> best;
     best.reserve(candidate_count_ + 1);
+    const auto& near = row.near[partition];
+    std::optional<std::pair<std::uint64_t, ordinal>> nearest;
     for (ordinal it = 0; it < instance_count_; ++it)
     {
         std::pair<std::uint64_t, ordinal> scored{
             XXH3_64bits_withSeed(&it, sizeof it, seed), it};
+        if (!near.empty() && near[it % near.size()] &&
+            (!nearest || *nearest < scored))
+            nearest = scored;
         if (best.size() == candidate_count_ && scored < best.back())
             continue;
         auto at = std::upper_bound(
@@ -76,6 +97,13 @@
         if (best.size() > candidate_count_)
             best.pop_back();
     }
+    if (nearest)
+    {
+        auto at = std::find(best.begin(), best.end(), *nearest);
+        if (at == best.end())
+            *--at = *nearest;
+        std::rotate(best.begin(), at, at + 1);
+    }
     for (const auto& it : best)
         row.owners.push_back(it.second);
 }
--- a/modules/turmericlane_decisions/tests/owner_map_tests.cpp
+++ b/modules/turmericlane_decisions/tests/owner_map_tests.cpp
@@ -55,6 +55,40 @@
         }
 }
 
+TEST_CASE("the first candidate stands in a data centre of the searchers")
+{
+    // Guards against a second way between data centres for each part, and
+    // against a copied row after searchers have moved.
+    auto content = make_bundle(30, {1});
+    content->max_instances = 9;
+    owner_map by_hash(*content);
+    content->ordinal_data_centres = {"a", "b", "c"};
+    for (std::uint32_t n = 0; n < 30; ++n)
+        content->services[0].groups[n].searchers[0].data_centre =
+            std::string(1, static_cast<char>('a' + n % 3));
+    owner_map first(*content, by_hash);
+    for (auto& it : content->services[0].groups)
+        it.searchers[0].data_centre = "b";
+    owner_map moved(*content, first);
+    for (std::uint32_t n = 0; n < 30; ++n)
+    {
+        auto found = first.candidates({0, n});
+        CHECK(found[0] % 3 == n % 3);
+        CHECK(std::set<ordinal>(found.begin(), found.end()).size() == 3);
+        CHECK(moved.candidates({0, n})[0] % 3 == 1);
+    }
+    for (auto& it : content->services[0].groups)
+        it.searchers[0].data_centre = "elsewhere";
+    owner_map apart(*content);
+    for (std::uint32_t n = 0; n < 30; ++n)
+    {
+        auto expected = by_hash.candidates({0, n});
+        auto found = apart.candidates({0, n});
+        CHECK(std::equal(
+            found.begin(), found.end(), expected.begin(), expected.end()));
+    }
+}
+
 TEST_CASE("a fleet smaller than the number of candidates uses every instance")
 {
     // Guards against an out-of-range access in a fleet of two.
