--- a/modules/turmericlane_decisions/owner/extra_attempts.cpp
+++ b/modules/turmericlane_decisions/owner/extra_attempts.cpp
@@ -15,6 +15,9 @@
 constexpr token_budget no_hedges{0.0, 100.0};
 constexpr token_budget some_retries{20.0, 100.0};
 constexpr std::uint8_t most_hedges = 2;
+// Multiples of the chosen percentile after which hedges start while no tokens
+// are saved; at 2 only a third of the budget was used at steady load.
+constexpr double delay_without_tokens = 1.5;
 // Multiples of the median latency of a group.
 constexpr int longest_hedge_delay = 4;
 constexpr int attempt_limit = 8;
@@ -76,15 +79,16 @@
            group.latencies.known();
 }
 
-/** The chosen percentile, or up to twice that while few tokens are saved, so
-    that they are spent on the slowest. A slow replica is part of the
-    percentile until it is ejected; the multiple of the median bounds that. */
+/** The chosen percentile, or longer while few tokens are saved, so that they
+   are spent on the slowest. A slow replica is part of the percentile until it
+   is ejected; the multiple of the median bounds that. */
 duration extra_attempts::hedge_delay(const part_record& part, rank work) const
 {
     const auto& latencies = part.group->latencies;
     auto base =
         std::min(latencies.upper(), longest_hedge_delay * latencies.median());
-    auto factor = 2.0 - hedges_[index_of(work)].fill();
+    const auto fill = hedges_[index_of(work)].fill();
+    auto factor = delay_without_tokens + (1.0 - delay_without_tokens) * fill;
     return std::chrono::duration_cast<duration>(base * factor);
 }
 
