Let a restarted fleet agree sooner on where callers go

Each instance knew 8 others at first and all 87 only 3.5 s later, and told callers for 5 s to use those that it knew. Requests were served by 23 instances in place of 8, none of which had a repeat to spend, so that overdue parts weren't hedged: 70 logged answers of 36 to 41 s left out parts, 34 of them without any repeat.

Change: an instance younger than 5 s sends full exchanges of members once a period, at up to 50 KB/s. Callers may keep addresses for 1 s in place of 5 until the known fleet has not changed by a tenth for 2 s.

--- a/modules/turmericlane_gateway/gateway/caller_directory.cpp
+++ b/modules/turmericlane_gateway/gateway/caller_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace turmericlane
 {
@@ -14,6 +15,14 @@
 /** How often the instances are chosen anew. */
 constexpr auto choice_period = 500ms;
 constexpr double thousandths = 1000.0;
+/** Share by which the known fleet has to change to count as changing. */
+constexpr double much = 0.1;
+/** The known fleet counts as complete after that time without such a change;
+    87 instances that start together know each other after 2 s. */
+constexpr auto settle_time = 2s;
+/** Lifetime of addresses until then: about that of a failed attempt of a
+    caller, so that asking again costs less than a wrong address. */
+constexpr auto unsettled_lifetime = 1s;
 
 } // namespace
 
@@ -54,6 +63,12 @@
     assert(instances > 0);
     chosen_ = now;
     const auto known = live.size();
+    const auto before = static_cast<double>(fleet_size_);
+    if (std::abs(static_cast<double>(known) - before) > much * before)
+    {
+        fleet_size_ = known;
+        resized_ = now;
+    }
     const auto chosen =
         placement_.choose(std::move(live), searchers_nearby, now);
     named_.clear();
@@ -74,6 +89,13 @@
     return made;
 }
 
+duration
+caller_directory::address_lifetime(duration longest, time_point now) const
+{
+    const auto settled = now - resized_ >= settle_time;
+    return settled ? longest : std::min<duration>(longest, unsettled_lifetime);
+}
+
 std::vector<endpoint> caller_directory::addresses(std::size_t most)
 {
     auto all = named_;
--- a/modules/turmericlane_gateway/gateway/caller_directory.h
+++ b/modules/turmericlane_gateway/gateway/caller_directory.h
@@ -62,6 +62,12 @@
         @param most  bound on their number */
     std::vector<endpoint> addresses(std::size_t most);
 
+    /** For how long callers may keep the addresses: shorter while the known
+        fleet grows or shrinks much, since they are then chosen from a part of
+        it and differ between instances.
+        @param longest  bound on it */
+    duration address_lifetime(duration longest, time_point now) const;
+
     /** This instance's work in percent of its processor share. */
     std::uint8_t busy_percent() const noexcept
     {
@@ -76,6 +82,9 @@
     caller_placement placement_;
     std::vector<endpoint> named_;
     time_point chosen_{};
+    /** Known live instances when their number last changed much. */
+    std::size_t fleet_size_ = 0;
+    time_point resized_{};
     std::uint64_t rotation_ = 0;
 };
 
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -117,6 +117,11 @@
     return directory_.addresses(most);
 }
 
+duration gateway::usable_for(duration longest) const
+{
+    return directory_.address_lifetime(longest, clock_.now());
+}
+
 std::string gateway::metrics_text()
 {
     metrics_.version.set(
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -88,6 +88,10 @@
         @param most  bound on their number */
     std::vector<endpoint> usable_instances(std::size_t most);
 
+    /** For how long callers may keep the instances that are usable now.
+        @param longest  bound on it */
+    duration usable_for(duration longest) const;
+
     /** Metrics in the Prometheus text format. */
     std::string metrics_text();
 
--- a/modules/turmericlane_gateway/peers/peer_channel.cpp
+++ b/modules/turmericlane_gateway/peers/peer_channel.cpp
@@ -13,6 +13,11 @@
 /** Peers to which changes are pushed; the others hear of them by heartbeats. */
 constexpr std::size_t max_push_peers = 100;
 
+/** Time and rate in which an instance gets to know a fleet that was restarted
+    as a whole; the rate is 2% of the smallest link, 20 Mbit/s. */
+constexpr auto young_time = 5s;
+constexpr double young_exchange_bytes_per_second = 50'000.0;
+
 /** Instances stop without notice and callers keep addresses for seconds, so
     that a lost one is found within about two. */
 membership_limits datagram_limits()
@@ -25,6 +30,8 @@
     made.report_window = 4s;
     made.gone_time = 60s;
     made.exchange_bytes_per_second = 4000.0;
+    made.young_time = young_time;
+    made.young_exchange_bytes_per_second = young_exchange_bytes_per_second;
     return made;
 }
 
--- a/modules/turmericlane_gateway/tests/message_tests.cpp
+++ b/modules/turmericlane_gateway/tests/message_tests.cpp
@@ -190,6 +190,38 @@
     CHECK_FALSE(decode_datagram_header(buf));
 }
 
+// Guards against callers that keep addresses which an instance chose from the
+// few others that it knew after all had been restarted: they spread over the
+// whole fleet, where no instance has a repeat to spend.
+TEST_CASE("callers ask again soon while the known fleet changes much")
+{
+    time_point now{1h};
+    std::vector<member> fleet(40);
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+    {
+        fleet[i].where = {"10.0.0." + std::to_string(i + 1), 1, 2};
+        fleet[i].nonce = i + 1;
+        fleet[i].capacity = 250;
+    }
+    const auto part = [&](std::ptrdiff_t size)
+    { return std::vector(fleet.begin(), fleet.begin() + size); };
+    caller_directory directory(fleet[0]);
+    directory.choose(part(8), {}, 8, now);
+    CHECK(directory.address_lifetime(5s, now) == 1s);
+    CHECK(directory.address_lifetime(500ms, now) == 500ms);
+    now += 2s;
+    directory.choose(part(30), {}, 30, now);
+    CHECK(directory.address_lifetime(5s, now + 1900ms) == 1s);
+    now += 2s;
+    CHECK(directory.address_lifetime(5s, now) == 5s);
+    // Single instances come and go in a fleet of any size.
+    directory.choose(part(31), {}, 31, now);
+    CHECK(directory.address_lifetime(5s, now) == 5s);
+    // A data centre is lost.
+    directory.choose(part(20), {}, 31, now);
+    CHECK(directory.address_lifetime(5s, now) == 1s);
+}
+
 // Guards against callers that are sent to an instance that stops before their
 // answer has expired.
 TEST_CASE("an instance that leaves or is lost is named no more")
--- a/modules/turmericlane_state/membership/membership_table.cpp
+++ b/modules/turmericlane_state/membership/membership_table.cpp
@@ -28,6 +28,7 @@
         , clock_(time)
         , actions_(actions)
         , store_(self, limits.members)
+        , started_(time.now())
         , next_round_(time.now())
         , last_active_(time.now())
         , exchange_at_(time.now())
@@ -436,12 +437,14 @@
         auto made = header(membership_message::type::exchange);
         for (const auto& [nonce, it] : store_.entries())
             made.members.push_back(it.value);
+        const auto young = now - started_ < limits_.young_time;
         auto seconds = static_cast<double>(encoded_bytes(made)) /
-                       limits_.exchange_bytes_per_second;
+                       (young ? limits_.young_exchange_bytes_per_second
+                              : limits_.exchange_bytes_per_second);
         std::uniform_real_distribution<double> jitter(1.0, 2.0);
         auto pause = std::chrono::duration_cast<duration>(
             std::chrono::duration<double>(seconds * jitter(random_)));
-        exchange_at_ = now + std::max(pause, 5 * limits_.period);
+        exchange_at_ = now + std::max(pause, (young ? 1 : 5) * limits_.period);
         last_exchange_ = now;
         actions_.send(to, made);
     }
@@ -478,6 +481,7 @@
     /** Nonces whose records are to be carried. */
     change_queue<std::uint64_t> changes_;
     change_queue<suspicion> reports_;
+    time_point started_;
     time_point next_round_;
     time_point last_active_;
     time_point exchange_at_;
--- a/modules/turmericlane_state/membership/membership_table.h
+++ b/modules/turmericlane_state/membership/membership_table.h
@@ -30,6 +30,10 @@
     /** Full exchanges because of a digest that differs send at most this, and
         on average two thirds of it. */
     double exchange_bytes_per_second = 1000.0;
+    /** A process that is younger sends exchanges up to once a period and up to
+        the second rate: most of the fleet is unknown to it. */
+    duration young_time = duration::zero();
+    double young_exchange_bytes_per_second = 1000.0;
     /** Processes remembered at most. */
     std::size_t members = 10'000;
 };
--- a/modules/turmericlane_state/tests/membership_tests.cpp
+++ b/modules/turmericlane_state/tests/membership_tests.cpp
@@ -382,6 +382,36 @@
     }
 }
 
+// Guards against an instance that knows a part of the fleet for seconds after
+// all were restarted: its callers were sent to other instances than the rest.
+TEST_CASE("instances that start together know each other within 2 s")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        auto options = small(seed);
+        options.nodes = 87;
+        options.membership.period = milliseconds(500);
+        options.membership.targets = 2;
+        options.membership.timeout = milliseconds(500);
+        options.membership.exchange_bytes_per_second = 4000.0;
+        options.membership.young_time = seconds(5);
+        options.membership.young_exchange_bytes_per_second = 50'000.0;
+        fleet tested(options);
+        for (std::size_t n = 0; n < options.nodes; ++n)
+            tested.start(n);
+        // Only three seeds are told to the others.
+        std::vector<listed_instance> seeds(3);
+        for (std::size_t n = 0; n < seeds.size(); ++n)
+            seeds[n].where = tested.table(n).self().where;
+        for (std::size_t n = 0; n < options.nodes; ++n)
+            tested.table(n).on_list(seeds);
+        tested.run_for(seconds(2));
+        for (std::size_t n = 0; n < options.nodes; ++n)
+            CHECK(tested.table(n).live_count() >= 80);
+    }
+}
+
 TEST_CASE("both sides of a partition heal without the list")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
