Exchange the members of a large fleet in parts that fit a datagram

Cause: found by reading: an exchange carries all members, 95 bytes each, in one datagram. From about 690 members on it is larger than a datagram can be and was dropped, so that instances of larger fleets agreed by single changes only; 2,400 nodes are the size to design for.

Change: an exchange and its reply carry at most 16,000 bytes and go on where the last one ended; the receiver of a full one adds what lies between its first and its last record.

Result: test with 3,000 members of which two instances know one half each: every message fits, both know all after 200 s of exchanges. Smaller fleets send what they sent before.

--- a/modules/turmericlane_gateway/peers/peer_channel.cpp
+++ b/modules/turmericlane_gateway/peers/peer_channel.cpp
@@ -13,6 +13,9 @@
 /** Peers to which changes are pushed; the others hear of them by heartbeats. */
 constexpr std::size_t max_push_peers = 100;
 
+/** A quarter of what a datagram can carry; it is lost with any of its 11
+    packets. About 170 members. */
+constexpr std::size_t max_exchange_bytes = 16'000;
 /** Time and rate in which an instance gets to know a fleet that was restarted
     as a whole; the rate is 2% of the smallest link, 20 Mbit/s. */
 constexpr auto young_time = 5s;
@@ -30,6 +33,7 @@
     made.report_window = 4s;
     made.gone_time = 60s;
     made.exchange_bytes_per_second = 4000.0;
+    made.exchange_bytes = max_exchange_bytes;
     made.young_time = young_time;
     made.young_exchange_bytes_per_second = young_exchange_bytes_per_second;
     return made;
--- a/modules/turmericlane_state/membership/membership_table.cpp
+++ b/modules/turmericlane_state/membership/membership_table.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <bit>
 #include <cassert>
+#include <functional>
 #include <random>
 
 namespace turmericlane
@@ -62,7 +63,7 @@
         if (message.kind == membership_message::type::acknowledgement)
             acknowledged(message.sequence);
         if (message.kind == membership_message::type::exchange)
-            reply_exchange(from, message.members);
+            reply_exchange(message);
         else if (message.digest != store_.digest())
             exchange(from.where, now);
     }
@@ -143,6 +144,8 @@
 
 private:
     static constexpr std::size_t suspicion_bytes = 24;
+    /** Upper bound on the encoded size of a member. */
+    static constexpr std::size_t largest_record_bytes = 300;
 
     struct probe
     {
@@ -435,8 +438,8 @@
         if (now < exchange_at_)
             return;
         auto made = header(membership_message::type::exchange);
-        for (const auto& [nonce, it] : store_.entries())
-            made.members.push_back(it.value);
+        exchange_from_ = add_records(
+            made, exchange_from_, [](const member&) { return true; });
         const auto young = now - started_ < limits_.young_time;
         auto seconds = static_cast<double>(encoded_bytes(made)) /
                        (young ? limits_.young_exchange_bytes_per_second
@@ -449,22 +452,65 @@
         actions_.send(to, made);
     }
 
-    void
-    reply_exchange(const member& to, const std::vector<member>& their_records)
+    /** Adds records in the order of nonces, from one on and around the end,
+        while they fit.
+        @returns the nonce of the first that doesn't fit, else the given one */
+    std::uint64_t add_records(
+        membership_message& to,
+        std::uint64_t first,
+        const std::function<bool(const member&)>& wanted) const
+    {
+        const auto& all = store_.entries();
+        auto bytes = encoded_bytes(to);
+        auto at = all.lower_bound(first);
+        for (std::size_t n = 0; n < all.size(); ++n, ++at)
+        {
+            if (at == all.end())
+                at = all.begin();
+            const auto& value = at->second.value;
+            if (!wanted(value))
+                continue;
+            bytes += encoded_bytes(value);
+            if (bytes > limits_.exchange_bytes)
+                return at->first;
+            to.members.push_back(value);
+        }
+        return first;
+    }
+
+    /** True if the sender of an exchange knows of no process with that nonce,
+        though it would have named it: an exchange that is full names those
+        from its first to its last nonce only. */
+    bool lacks(const membership_message& exchange, std::uint64_t nonce) const
+    {
+        const auto& named = exchange.members;
+        const auto full = encoded_bytes(exchange) + largest_record_bytes >
+                          limits_.exchange_bytes;
+        if (!full || named.empty())
+            return true;
+        const auto first = named.front().nonce;
+        const auto last = named.back().nonce;
+        return first <= last ? first <= nonce && nonce <= last
+                             : first <= nonce || nonce <= last;
+    }
+
+    void reply_exchange(const membership_message& to)
     {
         std::map<std::uint64_t, const member*> theirs;
-        for (const auto& it : their_records)
+        for (const auto& it : to.members)
             theirs[it.nonce] = &it;
         auto made = header(membership_message::type::exchange_reply);
-        for (const auto& [nonce, it] : store_.entries())
+        const auto wanted = [&](const member& it)
         {
-            if (nonce == to.nonce && it.value == to)
-                continue;
-            auto found = theirs.find(nonce);
-            if (found == theirs.end() || *found->second != it.value)
-                made.members.push_back(it.value);
-        }
-        actions_.send(to.where, made);
+            if (it.nonce == to.sender.nonce && it == to.sender)
+                return false;
+            const auto found = theirs.find(it.nonce);
+            return found == theirs.end() ? lacks(to, it.nonce)
+                                         : *found->second != it;
+        };
+        add_records(
+            made, to.members.empty() ? 0 : to.members.front().nonce, wanted);
+        actions_.send(to.sender.where, made);
     }
 
     membership_limits limits_;
@@ -485,6 +531,8 @@
     time_point next_round_;
     time_point last_active_;
     time_point exchange_at_;
+    /** Nonce with which the next exchange begins. */
+    std::uint64_t exchange_from_ = 0;
     time_point last_exchange_{};
     bool fresh_ = true;
 };
--- a/modules/turmericlane_state/membership/membership_table.h
+++ b/modules/turmericlane_state/membership/membership_table.h
@@ -2,6 +2,7 @@
 
 #include "membership_actions.h"
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -30,6 +31,9 @@
     /** Full exchanges because of a digest that differs send at most this, and
         on average two thirds of it. */
     double exchange_bytes_per_second = 1000.0;
+    /** Size of an exchange and of its reply at most, so that each fits into one
+        datagram where that carries it; larger fleets are exchanged in parts. */
+    std::size_t exchange_bytes = std::numeric_limits<std::size_t>::max();
     /** A process that is younger sends exchanges up to once a period and up to
         the second rate: most of the fleet is unknown to it. */
     duration young_time = duration::zero();
--- a/modules/turmericlane_state/tests/membership_tests.cpp
+++ b/modules/turmericlane_state/tests/membership_tests.cpp
@@ -265,6 +265,61 @@
         CHECK(encoded_bytes(sent.second) < it.limits.change_bytes + 400);
 }
 
+// Guards against an exchange that doesn't fit into a datagram and never
+// arrives.
+TEST_CASE("exchanges of a large fleet go in parts that fit")
+{
+    const std::size_t most = 16'000;
+    membership_limits limits;
+    limits.exchange_bytes = most;
+    limits.young_time = seconds(1000);
+    limits.young_exchange_bytes_per_second = 50'000.0;
+    manual_clock time;
+    recorder one_sends;
+    recorder two_sends;
+    membership_table one(make_member(1, 1), limits, 1, time, one_sends);
+    membership_table two(make_member(2, 2), limits, 2, time, two_sends);
+    // Each knows the one half that the other doesn't.
+    membership_message news;
+    for (ordinal n = 10; n < 3010; ++n)
+    {
+        news.members = {make_member(n, 1000 + n * std::uint64_t{7919})};
+        news.sender = news.members.front();
+        (n % 2 == 0 ? one : two).on_message(news);
+    }
+    for (int round = 0; round < 200; ++round)
+    {
+        time.advance(seconds(1));
+        one.on_timer();
+        two.on_timer();
+        membership_message hello;
+        hello.sender = two.self();
+        one.on_message(hello);
+        hello.sender = one.self();
+        two.on_message(hello);
+        // Both hear all that the other sends, whomever it is for.
+        for (int hop = 0; hop < 3; ++hop)
+        {
+            const auto first = std::exchange(one_sends.sent, {});
+            const auto second = std::exchange(two_sends.sent, {});
+            for (const auto& [to, message] : first)
+            {
+                CHECK(encoded_bytes(message) <= most);
+                if (to == two.self().where)
+                    two.on_message(message);
+            }
+            for (const auto& [to, message] : second)
+            {
+                CHECK(encoded_bytes(message) <= most);
+                if (to == one.self().where)
+                    one.on_message(message);
+            }
+        }
+    }
+    CHECK(one.members().size() == 3001);
+    CHECK(two.members().size() == 3001);
+}
+
 TEST_CASE("two readers for each data centre, which move only if one leaves")
 {
     single it;
