Ask a silent store again sooner while there is no state

Change: without a state a page has 300 ms, doubled after each three failures up to the 1.2 s of before, so that a slow store is still read; the time that a call took counts as part of the pause before the next. Stores that turn calls away at once are asked as seldom as before.

The new test fails on the old code and passes now.

--- a/modules/turmericlane_state/store/store_follower.cpp
+++ b/modules/turmericlane_state/store/store_follower.cpp
@@ -19,6 +19,11 @@
 constexpr auto stale_step = 150ms;
 /** A page is answered in milliseconds; a lost answer is asked for again. */
 constexpr auto page_deadline = 1200ms;
+/** Deadline of the first pages while there is no state: a store that was silent
+    is found to be back within a third of a second. It doubles after each three
+    failures, for a store that is slow. */
+constexpr auto first_page_deadline = 300ms;
+constexpr std::uint32_t failures_per_doubling = 3;
 /** How long a watch is held in a small fleet: short enough to notice within a
     version's time limit that the connection has gone silent. */
 constexpr auto shortest_watch = 1500ms;
@@ -114,8 +119,12 @@
         first_retry * (1U << std::min(failures_, max_doublings)),
         longest_retry);
     ++failures_;
-    call_not_before_ = clock_.now() + std::chrono::duration_cast<duration>(
-                                          span * (0.75 + jitter() / 2));
+    const auto pause =
+        std::chrono::duration_cast<duration>(span * (0.75 + jitter() / 2));
+    // Without a state each request is refused: the time that a silent store
+    // took counts as part of the pause.
+    call_not_before_ = complete() ? clock_.now() + pause
+                                  : std::max(clock_.now(), called_at_ + pause);
 }
 
 void store_follower::on_peer(
@@ -251,12 +260,23 @@
 void store_follower::call()
 {
     calling_ = true;
+    called_at_ = clock_.now();
     if (phase_ == phase::listing)
-        reader_.read_page(after_, page_deadline);
+        reader_.read_page(after_, page_time());
     else
         reader_.watch(through_, watch_time_, watch_time_ + watch_slack);
 }
 
+duration store_follower::page_time() const
+{
+    if (complete())
+        return page_deadline;
+    const auto doublings =
+        std::min(failures_ / failures_per_doubling, max_doublings);
+    return std::min<duration>(
+        first_page_deadline * (1U << doublings), page_deadline);
+}
+
 void store_follower::take_page(store_answer&& answer)
 {
     if (after_.empty())
--- a/modules/turmericlane_state/store/store_follower.h
+++ b/modules/turmericlane_state/store/store_follower.h
@@ -189,6 +189,7 @@
     time_point read_due() const;
     void read_if_due();
     void call();
+    duration page_time() const;
     void take_page(store_answer&& answer);
     void take_changes(store_answer&& answer);
     void confirm(time_point when);
@@ -216,6 +217,7 @@
     duration watch_time_;
     /** No call before this time. */
     time_point call_not_before_{};
+    time_point called_at_{};
     /** Peer that is ahead, and when it is asked. */
     std::optional<endpoint> ahead_;
     std::uint64_t ahead_through_ = 0;
--- a/modules/turmericlane_state/tests/store_tests.cpp
+++ b/modules/turmericlane_state/tests/store_tests.cpp
@@ -16,9 +16,10 @@
 /** Store that answers a test's calls, and records them. */
 struct scripted_reader : store_reader
 {
-    void read_page(const std::string& after, duration) override
+    void read_page(const std::string& after, duration deadline) override
     {
         calls.push_back("page " + after);
+        page_deadlines.push_back(deadline);
     }
 
     void watch(std::uint64_t revision, duration, duration) override
@@ -27,6 +28,7 @@
     }
 
     std::vector<std::string> calls;
+    std::vector<duration> page_deadlines;
 };
 
 struct recording_listener : store_listener
@@ -190,6 +192,46 @@
     CHECK(one.listener.pushed.front().settling >= 2s);
 }
 
+TEST_CASE("without a state a silent store is asked again soon")
+{
+    // Guards against an instance that refuses for a second more after all were
+    // restarted in an outage of the store, and against short deadlines that a
+    // slow store never meets.
+    manual_clock time;
+    instance it(time);
+    it.follower.start();
+    std::vector<duration> gaps;
+    for (int n = 0; n < 8; ++n)
+    {
+        const auto asked = time.now();
+        time.advance(it.reader.page_deadlines.back());
+        it.follower.on_failure(store_failure::unreachable);
+        time.advance(
+            std::max(duration::zero(), it.follower.next_wakeup() - time.now()));
+        it.follower.on_timer();
+        gaps.push_back(time.now() - asked);
+    }
+    REQUIRE(it.reader.calls.size() == 9);
+    for (std::size_t n = 0; n < 3; ++n)
+        CHECK(gaps[n] <= 300ms);
+    for (std::size_t n = 3; n < 6; ++n)
+        CHECK(gaps[n] <= 1000ms);
+    CHECK(it.reader.page_deadlines.back() == 1200ms);
+    it.follower.on_answer(answer(7, {{"a", 3, "x"}}));
+    CHECK(it.listener.completions == 1);
+    // A store that turns calls away at once is still asked less and less often.
+    instance refused(time);
+    refused.follower.start();
+    for (int n = 0; n < 6; ++n)
+    {
+        refused.follower.on_failure(store_failure::refused);
+        time.advance(refused.follower.next_wakeup() - time.now());
+        refused.follower.on_timer();
+    }
+    refused.follower.on_failure(store_failure::refused);
+    CHECK(refused.follower.next_wakeup() - time.now() >= 600ms);
+}
+
 TEST_CASE("failed calls back off")
 {
     manual_clock time;
