Log refusals that need no route

Change: each has a request_refused line with the id, why, status and version, under the same bound on lines; `turmericlane explain` has words for them.

--- a/apps/turmericlane/log_explainer.cpp
+++ b/apps/turmericlane/log_explainer.cpp
@@ -53,6 +53,17 @@
     if (why == "no_searcher")
         return "refused before anything was sent: no searcher is known for "
                "enough of its services";
+    if (why == "leaving")
+        return "refused before anything was sent: the instance was shutting "
+               "down";
+    if (why == "no_state")
+        return "refused before anything was sent: the instance had not read "
+               "the configuration and the searchers yet";
+    if (why == "no_route")
+        return "refused: no route of version " + text_of(line, "version") +
+               " matches its host and path";
+    if (why == "no_request_id")
+        return "refused: it carries no id";
     if (why == "searchers_full")
         return "not run: no searcher took it (" + parts + ")";
     if (why == "attempts_failed")
@@ -85,6 +96,8 @@
                " for " + text_of(line, "service");
     if (event == "request_abandoned")
         return "the caller left after " + text_of(line, "after_ms") + " ms";
+    if (line.contains("status"))
+        return event + " with " + text_of(line, "status");
     return event + " after " + text_of(line, "took_ms") + " of " +
            text_of(line, "target_ms") + " ms, " + text_of(line, "attempts") +
            " attempts, " + text_of(line, "repeats") + " of them repeats";
--- a/apps/turmericlane/tests/explain_tests.cpp
+++ b/apps/turmericlane/tests/explain_tests.cpp
@@ -36,6 +36,28 @@
     CHECK(explain("r2", log) == "nothing");
 }
 
+// Guards against a 503 of an instance that has just started, of which no line
+// told.
+TEST_CASE("a refusal of an instance without a state is explained")
+{
+    const auto log = [](const std::string& why, const std::string& status)
+    {
+        return R"({"time_ms":20,"instance":"a-1","event":6402,)"
+               R"("name":"request_refused","request":"r1","why":")" +
+               why + R"(","execution":"not_run","status":)" + status +
+               R"(,"retry_after_ms":1000,"version":0})";
+    };
+    const auto text = explain("r1", log("no_state", "503"));
+    CHECK(text.find("request_refused with 503\n") != std::string::npos);
+    CHECK(text.find("had not read the configuration") != std::string::npos);
+    CHECK(
+        explain("r1", log("no_route", "404")).find("no route of version 0") !=
+        std::string::npos);
+    CHECK(
+        explain("r1", log("leaving", "503")).find("shutting down") !=
+        std::string::npos);
+}
+
 TEST_CASE("parts missing are named with the searcher that did not answer")
 {
     const std::string log =
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -124,8 +124,7 @@
 
 std::string gateway::metrics_text()
 {
-    metrics_.version.set(
-        routes_ ? static_cast<double>(routes_->configuration().version) : 0.0);
+    metrics_.version.set(static_cast<double>(version()));
     metrics_.instances.set(instances_.value());
     metrics_.searchers.set(static_cast<double>(registry_.size()));
     metrics_.connections.set(static_cast<double>(pool_.connections()));
@@ -216,13 +215,13 @@
 {
     if (shutdown_.phase() == shutdown_phase::draining)
     {
-        refuse(*from, 503, duration::zero());
+        refuse(*from, request, local_refusal::leaving, 503);
         return;
     }
     if (!routes_ || !follower_->complete())
     {
         refuse(
-            *from, 503,
+            *from, request, local_refusal::no_state, 503,
             follower_ && follower_->lost() ? duration(lost_retry_after)
                                            : duration(starting_retry_after));
         return;
@@ -230,12 +229,12 @@
     const auto* const how = routes_->find(request.host(), request.path());
     if (how == nullptr)
     {
-        refuse(*from, 404, duration::zero());
+        refuse(*from, request, local_refusal::no_route, 404);
         return;
     }
     if (field(request.fields, settings_.names.request_id).empty())
     {
-        refuse(*from, 400, duration::zero());
+        refuse(*from, request, local_refusal::no_request_id, 400);
         return;
     }
     const auto id = ++last_request_;
@@ -284,10 +283,21 @@
     return shutdown_.phase() != shutdown_phase::serving;
 }
 
-void gateway::refuse(
-    caller_session& from, unsigned status, duration retry_after)
+std::uint64_t gateway::version() const
 {
-    recorder_.on_local_refusal(status);
+    return routes_ ? routes_->configuration().version : 0;
+}
+
+void gateway::refuse(
+    caller_session& from,
+    const caller_request& request,
+    local_refusal why,
+    unsigned status,
+    duration retry_after)
+{
+    recorder_.on_local_refusal(
+        field(request.fields, settings_.names.request_id), why, status,
+        retry_after, version());
     std::string fields;
     if (status == 503)
         fields = retry_fields(retry_after);
@@ -414,7 +424,7 @@
 
 void gateway::take_configuration(route_configuration&& configuration)
 {
-    const auto present = routes_ ? routes_->configuration().version : 0;
+    const auto present = version();
     if (configuration.version <= present)
     {
         if (configuration.version < present)
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -127,7 +127,13 @@
     void on_bad_request(unsigned status) override;
     const caller_limits& limits() const override;
     bool closing() const override;
-    void refuse(caller_session& from, unsigned status, duration retry_after);
+    std::uint64_t version() const;
+    void refuse(
+        caller_session& from,
+        const caller_request& request,
+        local_refusal why,
+        unsigned status,
+        duration retry_after = duration::zero());
 
     // Requests.
     void send(
--- a/modules/turmericlane_gateway/log/request_recorder.cpp
+++ b/modules/turmericlane_gateway/log/request_recorder.cpp
@@ -34,6 +34,22 @@
 
 } // namespace
 
+std::string_view to_string(local_refusal value) noexcept
+{
+    switch (value)
+    {
+    case local_refusal::leaving:
+        return "leaving";
+    case local_refusal::no_state:
+        return "no_state";
+    case local_refusal::no_route:
+        return "no_route";
+    case local_refusal::no_request_id:
+        return "no_request_id";
+    }
+    return "unknown";
+}
+
 request_recorder::request_recorder(json_log& log, gateway_metrics& metrics)
     : log_(log)
     , metrics_(metrics)
@@ -78,9 +94,22 @@
          {"after_ms", to_milliseconds(which.took)}});
 }
 
-void request_recorder::on_local_refusal(unsigned status)
+void request_recorder::on_local_refusal(
+    std::string_view id,
+    local_refusal why,
+    unsigned status,
+    duration retry_after,
+    std::uint64_t version)
 {
     metrics_.on_local_refusal(status);
+    log_.detail(
+        gateway_event::request_refused,
+        {{"request", id},
+         {"why", to_string(why)},
+         {"execution", to_string(outcome::not_run)},
+         {"status", static_cast<std::int64_t>(status)},
+         {"retry_after_ms", to_milliseconds(retry_after)},
+         {"version", static_cast<std::int64_t>(version)}});
 }
 
 void request_recorder::on_malformed(unsigned status)
--- a/modules/turmericlane_gateway/log/request_recorder.h
+++ b/modules/turmericlane_gateway/log/request_recorder.h
@@ -21,6 +21,21 @@
     duration lag{};
 };
 
+/** Why a request is answered without being forwarded. */
+enum class local_refusal : std::uint8_t
+{
+    /** The instance shuts down. */
+    leaving,
+    /** It has no configuration, or doesn't know the searchers yet. */
+    no_state,
+    no_route,
+    /** The request carries no id. */
+    no_request_id
+};
+
+/** Name for logs. */
+std::string_view to_string(local_refusal value) noexcept;
+
 /** Counts and logs what happens to requests. What failed, came late or lacks
     parts is logged; of the rest a sample.
 
@@ -39,8 +54,16 @@
     void on_abandoned(const ended_request& which);
 
     /** A request was answered without being forwarded.
-        @param status  what the caller got */
-    void on_local_refusal(unsigned status);
+        @param id           the caller's id; may be empty
+        @param status       what the caller got
+        @param retry_after  when it may come again
+        @param version      of the configuration in force; 0 for none */
+    void on_local_refusal(
+        std::string_view id,
+        local_refusal why,
+        unsigned status,
+        duration retry_after,
+        std::uint64_t version);
 
     /** Bytes that are no request. */
     void on_malformed(unsigned status);
--- a/modules/turmericlane_gateway/tests/gateway_tests.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_tests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <fcntl.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
 using namespace turmericlane;
@@ -41,8 +42,8 @@
 struct gateway_fixture
 {
     gateway_fixture()
-        : null_descriptor(::open("/dev/null", O_WRONLY | O_CLOEXEC))
-        , log(loop, time, null_descriptor, "test")
+        : log_file(::memfd_create("log", MFD_CLOEXEC))
+        , log(loop, time, log_file, "test")
         , port(next_port())
         , instance(loop, time, settings(), log)
     {
@@ -119,6 +120,15 @@
         return caller.response;
     }
 
+    std::string logged()
+    {
+        log.flush();
+        std::string made(std::size_t{64} << 10U, ' ');
+        const auto n = ::pread(log_file, made.data(), made.size(), 0);
+        made.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+        return made;
+    }
+
     static std::string
     text(const std::string& target, const std::string& more = {})
     {
@@ -129,7 +139,7 @@
 
     event_context loop;
     monotonic_clock time;
-    int null_descriptor;
+    int log_file;
     json_log log;
     std::uint16_t port;
     silent_store store;
@@ -228,6 +238,7 @@
     REQUIRE(got);
     CHECK(got->status == 404);
     CHECK(searchers[0]->requests.empty());
+    CHECK(logged().find(R"("why":"no_route")") != std::string::npos);
 }
 
 // Guards against a 404 from an instance that does not know the routes yet.
@@ -240,6 +251,9 @@
     REQUIRE(got);
     CHECK(got->status == 503);
     CHECK_FALSE(field(got->fields, "Retry-After").empty());
+    const auto lines = logged();
+    CHECK(
+        lines.find(R"("request":"77","why":"no_state")") != std::string::npos);
 }
 
 // Guards against callers that spend their only retry before the store is back.
