--- a/modules/turmericlane_gateway/gateway/caller_directory.cpp
+++ b/modules/turmericlane_gateway/gateway/caller_directory.cpp
@@ -15,13 +15,14 @@
 /** How often the instances are chosen anew. */
 constexpr auto choice_period = 500ms;
 constexpr double thousandths = 1000.0;
-/** Share by which the known fleet has to change to count as changing. */
-constexpr double much = 0.1;
+/** A change of the known fleet by this share starts the settling anew; single
+    instances that come and go don't. */
+constexpr double resize_share = 0.1;
 /** The known fleet counts as complete after that time without such a change;
     87 instances that start together know each other after 2 s. */
 constexpr auto settle_time = 2s;
-/** Lifetime of addresses until then: about that of a failed attempt of a
-    caller, so that asking again costs less than a wrong address. */
+/** Lifetime of addresses until then. Asking is part of a caller's time, so that
+    it isn't shorter: an unusable address costs a caller about as much. */
 constexpr auto unsettled_lifetime = 1s;
 
 } // namespace
@@ -64,7 +65,7 @@
     chosen_ = now;
     const auto known = live.size();
     const auto before = static_cast<double>(fleet_size_);
-    if (std::abs(static_cast<double>(known) - before) > much * before)
+    if (std::abs(static_cast<double>(known) - before) > resize_share * before)
     {
         fleet_size_ = known;
         resized_ = now;
