Block SIGPIPE on the thread of the platform client

Change: the client's thread blocks the signal; the write fails with an error.

The command-line client uses the same library without such a thread; that is open.

--- a/modules/turmericlane_node/platform/platform_client.cpp
+++ b/modules/turmericlane_node/platform/platform_client.cpp
@@ -3,6 +3,7 @@
 #include <httplib.h>
 
 #include <cassert>
+#include <csignal>
 
 namespace turmericlane
 {
@@ -16,6 +17,16 @@
     the first time would otherwise hold the stop up until its time-out. */
 constexpr std::chrono::milliseconds stop_period{20};
 
+/** The library sends without MSG_NOSIGNAL, and a stop shuts the connection down
+    while this thread may write to it. */
+void block_broken_pipe_signal()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace
 
 platform_client::platform_client(host_port where)
@@ -71,6 +82,7 @@
 
 void platform_client::run()
 {
+    block_broken_pipe_signal();
     while (true)
     {
         std::unique_ptr<request> taken;
--- a/modules/turmericlane_node/tests/platform_client_tests.cpp
+++ b/modules/turmericlane_node/tests/platform_client_tests.cpp
@@ -26,6 +26,26 @@
     CHECK_FALSE(got.error.empty());
 }
 
+TEST_CASE("a stop while a request is written does not end the process")
+{
+    // Guards against SIGPIPE from a connection that the stop has shut down.
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(
+        context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    for (int n = 0; n < 200; ++n)
+    {
+        platform_client client({"127.0.0.1", acceptor.local_endpoint().port()});
+        client.start();
+        int answers = 0;
+        client.get(
+            "/v1/bundle", std::chrono::hours(1),
+            [&answers](const platform_answer&) { ++answers; });
+        tcp::socket accepted = acceptor.accept();
+        client.stop();
+        CHECK(answers == 1);
+    }
+}
+
 TEST_CASE("a stop without a read returns")
 {
     platform_client client({"127.0.0.1", 1});
