--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -396,7 +396,6 @@
         self.ports = free_ports(self.ips)
         self.gateways = [Gateway(i, self) for i in range(gateway_count)]
         self.version = 0
-        self.tasks = []
 
     def add(self, searcher):
         self.searchers.append(searcher)
@@ -437,8 +436,6 @@
         await asyncio.sleep(10)
 
     async def stop(self):
-        for it in self.tasks:
-            it.cancel()
         for it in self.gateways:
             it.send_signal(signal.SIGCONT)
             it.send_signal(signal.SIGKILL)
