--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 SERVICES = 15
 SEARCHERS = 3
 SLOTS = 3
-QUEUE = 1
+QUEUE = 3
 CONNECTIONS = 31
 WORK_S = 0.012
 # The disruption garble, variants extra and late, as the site file names it.
@@ -27,7 +27,7 @@
 PAUSE_S = 0.2
 TRAFFIC_S = 92.0
 # Orders come in groups, when a window for bookings opens.
-GROUP_SIZE = 15
+GROUP_SIZE = 22
 GROUP_INTERVAL_S = (0.9, 1.3)
 PROMISES = (408, 421, 429, 503)
 
