Use no connection twice for the same request

Cause: all attempts of a request carry the caller's id. A rejected request is sent again, to the same searcher if the service has no other, and the pool took the connection that had been used last, the one that had just carried the rejection. A late copy of that rejection arrived where the second answer was due, with the right id: the attempt that was running counted as rejected, and so as certain not to have run.

The new test failed before in all four variants: 503, 502 or two executions for an order, 500 for a query that was answered 200.

Change: a request remembers the connections that have carried it, and later attempts don't use them. What arrives late on such a connection meets another request, whose id differs, or an idle connection, which is closed. The same choice of connection was the cause for sub-requests of gathered requests and for retries after a searcher's error.

--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -61,6 +61,7 @@
 public:
     searcher_connection(searcher_pool& pool, std::shared_ptr<searcher> target)
         : pool_(pool)
+        , number_(++pool.last_connection_)
         , target_(std::move(target))
         , connection_(std::make_shared<client_connection>(
               pool.loop_, *this, &pool.memory_))
@@ -111,6 +112,11 @@
         connection_->close();
     }
 
+    connection_number number() const
+    {
+        return number_;
+    }
+
     const std::shared_ptr<searcher>& target() const
     {
         return target_;
@@ -301,6 +307,7 @@
     }
 
     searcher_pool& pool_;
+    connection_number number_;
     std::shared_ptr<searcher> target_;
     std::shared_ptr<client_connection> connection_;
     attempt_handle attempt_ = 0;
@@ -340,13 +347,14 @@
 
 void searcher_pool::send(
     attempt_handle attempt,
-    const outgoing_request& request,
+    outgoing_request& request,
     const std::shared_ptr<searcher>& target,
     duration time_left)
 {
-    auto connection = find_free_connection(*target);
+    auto connection = find_free_connection(*target, request);
     if (!connection)
         connection = open_connection(target);
+    request.used_connections.push_back(connection->number());
     connection->send(attempt, request, time_left);
 }
 
@@ -434,17 +442,28 @@
 }
 
 std::shared_ptr<searcher_pool::searcher_connection>
-searcher_pool::find_free_connection(const searcher& target) const
+searcher_pool::find_free_connection(
+    const searcher& target, const outgoing_request& request) const
 {
     const auto position = connections_by_searcher_.find(&target);
     if (position == connections_by_searcher_.end())
         return nullptr;
+    // All attempts of a request have the same id: a copy of the answer to an
+    // earlier one could not be told from the answer to this one.
+    const auto has_carried_request = [&](const searcher_connection& connection)
+    {
+        return std::find(
+                   request.used_connections.begin(),
+                   request.used_connections.end(),
+                   connection.number()) != request.used_connections.end();
+    };
     const auto now = clock_.now();
     std::shared_ptr<searcher_connection> last_used;
     for (const auto& it : position->second)
     {
         if (it->is_usable(now) &&
-            (!last_used || it->last_change() > last_used->last_change()))
+            (!last_used || it->last_change() > last_used->last_change()) &&
+            !has_carried_request(*it))
             last_used = it;
     }
     if (last_used)
--- a/modules/turmericlane_gateway/searchers/searcher_pool.h
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.h
@@ -12,6 +12,9 @@
 namespace turmericlane
 {
 
+/** Identifies a connection to a searcher within this process. */
+using connection_number = std::uint64_t;
+
 /** A caller's request in the form in which it is sent to searchers. */
 struct outgoing_request
 {
@@ -25,6 +28,9 @@
     bool expects_body = true;
     /** True for a sub-request, whose answer has to be a signed success. */
     bool is_part = false;
+    /** Connections that have carried the request. A late copy of the answer to
+        one of its attempts may still arrive there. */
+    std::vector<connection_number> used_connections;
 };
 
 /** Receives the results of a searcher_pool. */
@@ -81,10 +87,11 @@
     searcher_pool(const searcher_pool&) = delete;
     searcher_pool& operator=(const searcher_pool&) = delete;
 
-    /** Sends an attempt on an idle connection, or on a new one. */
+    /** Sends an attempt on an idle connection that has not carried the request
+        yet, or on a new one. Adds it to the request's used connections. */
     void send(
         attempt_handle attempt,
-        const outgoing_request& request,
+        outgoing_request& request,
         const std::shared_ptr<searcher>& target,
         duration time_left);
 
@@ -120,8 +127,8 @@
 private:
     class searcher_connection;
 
-    std::shared_ptr<searcher_connection>
-    find_free_connection(const searcher& target) const;
+    std::shared_ptr<searcher_connection> find_free_connection(
+        const searcher& target, const outgoing_request& request) const;
     std::shared_ptr<searcher_connection>
     open_connection(const std::shared_ptr<searcher>& target);
     void remove(const searcher_connection& connection);
@@ -143,6 +150,7 @@
     std::unordered_map<attempt_handle, searcher_connection*>
         connections_by_attempt_;
     std::uint64_t opened_count_ = 0;
+    connection_number last_connection_ = 0;
     time_point start_time_;
 };
 
--- a/modules/turmericlane_gateway/tests/gateway_fixture.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_fixture.cpp
@@ -75,6 +75,7 @@
     single_route.name = "single";
     single_route.host = "a.example";
     single_route.prefix = "/one/";
+    single_route.semantics = single_route_semantics;
     single_route.timeout = route_timeout;
     single_route.target_latency = 500ms;
     single_route.max_attempts = 2;
--- a/modules/turmericlane_gateway/tests/gateway_fixture.h
+++ b/modules/turmericlane_gateway/tests/gateway_fixture.h
@@ -78,6 +78,9 @@
 
     /** Timeout of the routes; set before start. */
     duration route_timeout = std::chrono::seconds(1);
+    /** Of the route to the service "one"; set before start. */
+    execution_semantics single_route_semantics =
+        execution_semantics::idempotent;
     event_context loop;
     monotonic_clock time;
     int log_file;
--- a/modules/turmericlane_gateway/tests/hostile_searcher_tests.cpp
+++ b/modules/turmericlane_gateway/tests/hostile_searcher_tests.cpp
@@ -183,6 +183,71 @@
     }
 }
 
+// Guards against "not run" for an order that runs, and against an attempt that
+// is ended by a copy: the late copy answers an earlier attempt of the same
+// request, so that its id tells nothing.
+TEST_CASE_FIXTURE(
+    gateway_fixture,
+    "a late copy of an answer does not end the request's next attempt")
+{
+    std::string service = "one";
+    std::string target = "/one/x";
+    std::function<std::string(const std::string&)> make_failure =
+        [](const std::string& request) { return rejection(request, {}); };
+    SUBCASE("a rejected order")
+    {
+        single_route_semantics = execution_semantics::at_most_once;
+    }
+    SUBCASE("a rejected query") {}
+    SUBCASE("a rejected sub-request")
+    {
+        service = "s0";
+        target = "/all/x";
+    }
+    SUBCASE("an error")
+    {
+        make_failure = [](const std::string& request)
+        {
+            const auto id = raw_field(request, "X-Id");
+            return "HTTP/1.1 500 Error\r\nX-Signature: error." + id +
+                   "\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+        };
+    }
+    // By the id of the request: the answer to its first attempt, and the
+    // connection that has carried it.
+    std::map<std::string, std::pair<std::string, const void*>> failures;
+    std::map<std::string, int> runs;
+    add_raw_searcher(
+        service, "a",
+        [&](const raw_connection& connection, const std::string& request)
+        {
+            const auto id = raw_field(request, "X-Id");
+            const auto [it, is_first] = failures.try_emplace(
+                id, make_failure(request), connection.get());
+            if (is_first)
+            {
+                connection->write(it->second.first);
+                return;
+            }
+            if (it->second.second == connection.get())
+                connection->write(it->second.first);
+            ++runs[id];
+            connection->write(
+                service == "s0" ? raw_answer("sig." + id, id, make_record('r'))
+                                : own_answer(request));
+        });
+    start(service == "s0" ? 1 : 0, 1.0);
+    // The budget allows three retries.
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto id = std::to_string(i);
+        const auto response = get_with_id(target, id);
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(runs[id] == 1);
+    }
+}
+
 // Guards against a copy that cannot be told from the next answer.
 TEST_CASE_FIXTURE(
     gateway_fixture, "a connection is used once if its answers carry no id")
