Refuse what a stopping instance is not expected to finish

Cause: a stopping instance accepted every request until 1.2 s before its end. Requests that take longer were cut off when the process ended.

The new test of the gateway failed before: 200 instead of 503, and a second request at the searcher.

Change: from SIGTERM on, a request is refused at once (503, why stopping) unless its own time limit, or the wait for a searcher and twice the 98th percentile of its route's latency, fits into the rest of the shutdown. Without known latencies the route's target counts. completion_time holds the decision.

--- a/apps/turmericlane/log_explainer.cpp
+++ b/apps/turmericlane/log_explainer.cpp
@@ -57,6 +57,9 @@
     if (cause == "leaving")
         return "refused before anything was sent: the instance was shutting "
                "down";
+    if (cause == "stopping")
+        return "the instance was shutting down and would not have finished, or "
+               "did not finish, it";
     if (cause == "no_state")
         return "refused before anything was sent: the instance had not read "
                "the configuration and the list of searchers yet";
--- a/apps/turmericlane/tests/explain_tests.cpp
+++ b/apps/turmericlane/tests/explain_tests.cpp
@@ -56,6 +56,9 @@
     CHECK(
         explain("r1", log("leaving", "503")).find("shutting down") !=
         std::string::npos);
+    CHECK(
+        explain("r1", log("stopping", "503")).find("would not have finished") !=
+        std::string::npos);
 }
 
 TEST_CASE("a missing part is named with the searcher that did not answer")
--- a/modules/turmericlane_decisions/owner/latency_window.cpp
+++ b/modules/turmericlane_decisions/owner/latency_window.cpp
@@ -56,6 +56,18 @@
     return upper_percentile_;
 }
 
+duration latency_window::percentile(double level) const
+{
+    if (samples_.empty())
+        return duration::zero();
+    auto samples = samples_;
+    const auto index = static_cast<std::ptrdiff_t>(
+        static_cast<double>(samples.size() - 1) * std::clamp(level, 0.0, 1.0));
+    const auto position = samples.begin() + index;
+    std::nth_element(samples.begin(), position, samples.end());
+    return *position;
+}
+
 duration latency_window::median() const
 {
     return median_;
--- a/modules/turmericlane_decisions/owner/latency_window.h
+++ b/modules/turmericlane_decisions/owner/latency_window.h
@@ -35,6 +35,11 @@
     /** Returns the percentile at the level set by set_percentile(). */
     duration upper_percentile() const;
 
+    /** Returns the percentile at another level, 0 to 1, over all samples;
+        zero if there are none. It is not cached: the call takes some
+        microseconds. */
+    duration percentile(double level) const;
+
     /** Returns the median. */
     duration median() const;
 
--- a/modules/turmericlane_decisions/tests/owner_policy_tests.cpp
+++ b/modules/turmericlane_decisions/tests/owner_policy_tests.cpp
@@ -149,6 +149,9 @@
     CHECK(window.median() >= 45ms);
     CHECK(window.median() <= 55ms);
     CHECK(window.upper_percentile() >= 95ms);
+    CHECK(window.percentile(0.9) >= 85ms);
+    CHECK(window.percentile(0.9) <= 95ms);
+    CHECK(window.percentile(1.0) == 100ms);
     for (int n = 0; n < 600; ++n)
         window.add(2ms);
     CHECK(window.upper_percentile() == 2ms);
--- a/modules/turmericlane_forwarding/attempts/hedge_timing.cpp
+++ b/modules/turmericlane_forwarding/attempts/hedge_timing.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr double overdue_percentile = 0.85;
+constexpr double slow_percentile = 0.98;
 /** Smallest hedge delay, as a multiple of the median. */
 constexpr double min_delay_multiple = 1.4;
 /** Time left for the answer of a hedge, as a multiple of the median. */
@@ -39,6 +40,13 @@
                                            : duration::zero();
 }
 
+duration hedge_timing::slow_latency() const
+{
+    return latencies_.has_enough_samples()
+               ? latencies_.percentile(slow_percentile)
+               : duration::zero();
+}
+
 duration hedge_timing::hedge_delay(duration target_time) const
 {
     if (!latencies_.has_enough_samples())
--- a/modules/turmericlane_forwarding/attempts/hedge_timing.h
+++ b/modules/turmericlane_forwarding/attempts/hedge_timing.h
@@ -26,6 +26,9 @@
     /** Returns the median latency; zero if not known yet. */
     duration median_latency() const;
 
+    /** Returns a latency that few attempts exceed; zero if not known yet. */
+    duration slow_latency() const;
+
     /** Returns the time after which an attempt is overdue.
         @param target_time  time from the request's arrival within which its
                             answer must be sent */
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -155,6 +155,11 @@
         release_attempts(ended_request.mapped(), true);
 }
 
+void forward_engine::prepare_stop(time_point end_time)
+{
+    end_time_ = end_time;
+}
+
 void forward_engine::on_result(attempt_handle attempt, attempt_result&& result)
 {
     const auto match = attempts_.find(attempt);
@@ -259,11 +264,43 @@
            std::max<std::size_t>(capacity, 1);
 }
 
+duration forward_engine::expected_queue_wait(
+    const route& matched_route, const std::string* service)
+{
+    if (service != nullptr)
+        return expected_queue_wait(matched_route, *service);
+    auto longest_wait = duration::zero();
+    for (const auto& it : matched_route.shards)
+        longest_wait =
+            std::max(longest_wait, expected_queue_wait(matched_route, it));
+    return longest_wait;
+}
+
+bool forward_engine::is_answered_before_end(
+    const forward_request& request, const instance_load& load)
+{
+    const auto& matched_route = *request.matched_route;
+    const work_estimate estimate{
+        limits_of(request).timeout, load.queue_wait,
+        timings_[matched_route.name].slow_latency()};
+    return clock_.now() + completion_time(matched_route, estimate) <= end_time_;
+}
+
+void forward_engine::refuse(
+    const forward_request& request,
+    forward_failure failure,
+    duration retry_after)
+{
+    forward_result result;
+    result.failure = failure;
+    result.retry_after = retry_after;
+    actions_.finish(request.id, std::move(result));
+}
+
 bool forward_engine::try_refuse(
     const forward_request& request, const std::string* service)
 {
     const auto& matched_route = *request.matched_route;
-    forward_result result;
     const auto needed_count =
         matched_route.is_gathered()
             ? matched_route.min_coverage * matched_route.shards.size() -
@@ -277,27 +314,26 @@
                                   : usable_time(*service) <= latest;
     if (static_cast<double>(usable_count) < needed_count)
     {
-        result.failure = forward_failure::no_searcher;
-        result.retry_after = time_until_searcher(matched_route, service);
-        actions_.finish(request.id, std::move(result));
+        refuse(
+            request, forward_failure::no_searcher,
+            time_until_searcher(matched_route, service));
         return true;
     }
     instance_load load;
     load.in_flight = requests_.size();
     load.lag = lag_;
-    if (matched_route.is_gathered())
+    load.queue_wait = expected_queue_wait(matched_route, service);
+    if (end_time_ != time_point::max() &&
+        !is_answered_before_end(request, load))
     {
-        for (const auto& it : matched_route.shards)
-            load.queue_wait = std::max(
-                load.queue_wait, expected_queue_wait(matched_route, it));
+        // Other instances can take the request at once.
+        refuse(request, forward_failure::stopping, duration::zero());
+        return true;
     }
-    else
-        load.queue_wait = expected_queue_wait(matched_route, *service);
-    result.retry_after = admission_.retry_after(matched_route, load);
-    if (result.retry_after == duration::zero())
+    const auto retry_after = admission_.retry_after(matched_route, load);
+    if (retry_after == duration::zero())
         return false;
-    result.failure = forward_failure::overloaded;
-    actions_.finish(request.id, std::move(result));
+    refuse(request, forward_failure::overloaded, retry_after);
     return true;
 }
 
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../admission/admission_control.h"
+#include "../admission/completion_time.h"
 #include "../attempts/extra_attempt_budget.h"
 #include "../attempts/hedge_timing.h"
 #include "../gather/answer_rule.h"
@@ -76,6 +77,10 @@
         no answer. */
     void on_caller_left(request_handle id);
 
+    /** Sets when this instance ends. From now on, requests that may not be
+        answered before are refused. */
+    void prepare_stop(time_point end_time);
+
     /** Call when an attempt has ended. */
     void on_result(attempt_handle attempt, attempt_result&& result);
 
@@ -138,7 +143,19 @@
 
     duration
     expected_queue_wait(const route& matched_route, const std::string& service);
+    /** The same for a request; the longest one over its sub-requests.
+        @param service  service of the request; null if it is gathered */
+    duration
+    expected_queue_wait(const route& matched_route, const std::string* service);
     bool try_refuse(const forward_request& request, const std::string* service);
+    /** True if the request is expected to be answered before this instance
+        ends. */
+    bool is_answered_before_end(
+        const forward_request& request, const instance_load& load);
+    void refuse(
+        const forward_request& request,
+        forward_failure failure,
+        duration retry_after);
     std::size_t
     count_usable_shards(const route& matched_route, time_point latest) const;
     /** True if the request can be answered even if one more part fails. */
@@ -200,6 +217,8 @@
     std::unordered_map<std::string, queue> queues_;
     timer_heap<timer> timers_;
     attempt_handle last_attempt_ = 0;
+    /** When this instance ends, if it is known. */
+    time_point end_time_ = time_point::max();
     duration lag_{};
     std::mt19937_64 random_;
 };
--- a/modules/turmericlane_forwarding/engine/forward_request.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_request.cpp
@@ -19,6 +19,8 @@
         return "attempts_failed";
     case forward_failure::deadline:
         return "deadline";
+    case forward_failure::stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- a/modules/turmericlane_forwarding/engine/forward_request.h
+++ b/modules/turmericlane_forwarding/engine/forward_request.h
@@ -42,7 +42,9 @@
     /** All attempts failed; the request may have run. */
     attempts_failed,
     /** The deadline passed. */
-    deadline
+    deadline,
+    /** The instance stops before the request is answered. */
+    stopping
 };
 
 /** Returns the name for logs and metrics. */
--- a/modules/turmericlane_forwarding/turmericlane_forwarding.h
+++ b/modules/turmericlane_forwarding/turmericlane_forwarding.h
@@ -11,6 +11,7 @@
 */
 
 #include "admission/admission_control.h"
+#include "admission/completion_time.h"
 #include "attempts/extra_attempt_budget.h"
 #include "attempts/hedge_timing.h"
 #include "engine/forward_engine.h"
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -113,6 +113,7 @@
 void gateway::terminate()
 {
     shutdown_.on_termination_signal();
+    engine_.prepare_stop(shutdown_.stop_time());
     schedule_wakeup();
 }
 
--- a/modules/turmericlane_gateway/tests/gateway_fixture.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_fixture.cpp
@@ -65,7 +65,7 @@
     gathered_route.host = "a.example";
     gathered_route.prefix = "/all/";
     gathered_route.timeout = route_timeout;
-    gathered_route.target_latency = 500ms;
+    gathered_route.target_latency = target_latency;
     gathered_route.max_attempts = 2;
     gathered_route.top_count = 3;
     gathered_route.min_coverage = min_coverage;
@@ -77,7 +77,7 @@
     single_route.prefix = "/one/";
     single_route.semantics = single_route_semantics;
     single_route.timeout = route_timeout;
-    single_route.target_latency = 500ms;
+    single_route.target_latency = target_latency;
     single_route.max_attempts = 2;
     single_route.services = {{"one", 1.0}};
     configuration.routes = {gathered_route, single_route};
--- a/modules/turmericlane_gateway/tests/gateway_fixture.h
+++ b/modules/turmericlane_gateway/tests/gateway_fixture.h
@@ -78,6 +78,8 @@
 
     /** Timeout of the routes; set before start. */
     duration route_timeout = std::chrono::seconds(1);
+    /** Target of the routes; set before start. */
+    duration target_latency = std::chrono::milliseconds(500);
     /** Of the route to the service "one"; set before start. */
     execution_semantics single_route_semantics =
         execution_semantics::idempotent;
--- a/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
+++ b/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
@@ -155,6 +155,31 @@
     CHECK(log_text().find("\"cut_off\":0") != std::string::npos);
 }
 
+// Guards against requests that are accepted late in a shutdown and then cut
+// off.
+TEST_CASE_FIXTURE(
+    stopping_gateway_fixture,
+    "a stopping instance refuses what it is not expected to finish")
+{
+    auto& searcher = add_searcher("one", "a", signed_answer("sig.a", "x"));
+    // Longer than the shutdown.
+    route_timeout = 60s;
+    target_latency = 20s;
+    start(0, 1.0);
+    standin_caller caller(loop, port);
+    caller.send("GET /one/x HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n\r\n");
+    REQUIRE(run_until(loop, [&] { return caller.response.has_value(); }));
+    CHECK(caller.response->status == 200);
+    instance.terminate();
+    caller.response.reset();
+    caller.send("GET /one/x HTTP/1.1\r\nHost: a.example\r\nX-Id: 2\r\n\r\n");
+    REQUIRE(run_until(loop, [&] { return caller.response.has_value(); }));
+    CHECK(caller.response->status == 503);
+    CHECK_FALSE(caller.response->keep_alive);
+    CHECK_FALSE(field(caller.response->fields, "Retry-After").empty());
+    CHECK(searcher.requests.size() == 1);
+}
+
 // Guards against running work that is started again, or given up, because its
 // searcher's entry lapsed: a silent machine may still be working.
 TEST_CASE_FIXTURE(
--- a/modules/turmericlane_state/shutdown/shutdown_sequence.h
+++ b/modules/turmericlane_state/shutdown/shutdown_sequence.h
@@ -95,6 +95,13 @@
         return phase_;
     }
 
+    /** Returns when the shutdown ends at the latest; time_point::max() while
+        serving. */
+    time_point stop_time() const noexcept
+    {
+        return stop_time_;
+    }
+
 private:
     void drain();
     void stop();
