Answer what is still open at the end of a planned stop

Cause: at its end a stopping instance ended its event loop, whatever was open. A request whose searcher stays silent is open until its time limit, for the archive kind 6 s, longer than the whole shutdown.

The new test of the gateway failed before: no answer.

Change: at the end of the shutdown every open request gets its final answer: 503 if it has not run, a merged answer if enough parts are there, else 502. 200 ms of the shutdown are kept for writing them. "cut_off" in the log counts each open request once instead of twice.

--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -160,6 +160,29 @@
     end_time_ = end_time;
 }
 
+void forward_engine::stop()
+{
+    // Removed first, so that waiting sub-requests are not sent when running
+    // attempts end.
+    auto ended_requests = std::exchange(requests_, {});
+    for (auto& [id, state] : ended_requests)
+    {
+        // The parts of a gathered request that have arrived may be enough.
+        const gather_progress progress{
+            state.parts.size(), state.parts_arrived, state.parts_failed,
+            state.limits.timeout};
+        const auto is_answered =
+            state.request.matched_route->is_gathered() &&
+            decide_gather(progress, state.limits) == gather_decision::answer;
+        auto result = make_result(
+            state,
+            is_answered ? forward_failure::none : forward_failure::stopping,
+            clock_.now());
+        release_attempts(state, true);
+        actions_.finish(id, std::move(result));
+    }
+}
+
 void forward_engine::on_result(attempt_handle attempt, attempt_result&& result)
 {
     const auto match = attempts_.find(attempt);
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -81,6 +81,10 @@
         answered before are refused. */
     void prepare_stop(time_point end_time);
 
+    /** Ends all requests: gathered ones with enough parts are answered, those
+        that have not run are refused, and the others fail. */
+    void stop();
+
     /** Call when an attempt has ended. */
     void on_result(attempt_handle attempt, attempt_result&& result);
 
--- a/modules/turmericlane_forwarding/tests/stop_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/stop_tests.cpp
@@ -91,3 +91,64 @@
     tested_route.shards = {"s0", "s1"};
     CHECK(completion_time(tested_route, estimate) >= 240ms);
 }
+
+// Guards against requests that get no answer, and against "not run" for one
+// that runs.
+TEST_CASE("a stop ends every request, and sends nothing more")
+{
+    engine_simulation simulation;
+    const auto capacity = simulation.add_searcher("one", "a")->max_in_flight();
+    simulation.scripts["a"] = [] {
+        return behaviour{attempt_outcome::answered, std::nullopt};
+    };
+    const auto tested_route =
+        simulation.make_single_route("one", execution_semantics::at_most_once);
+    std::vector<request_handle> requests;
+    for (std::size_t i = 0; i < capacity + 3; ++i)
+        requests.push_back(simulation.start_request(tested_route));
+    REQUIRE(simulation.attempts.size() == capacity);
+    REQUIRE(simulation.results.empty());
+    simulation.engine.stop();
+    for (std::size_t i = 0; i < requests.size(); ++i)
+    {
+        CAPTURE(i);
+        REQUIRE(simulation.results.contains(requests[i]));
+        const auto& result = simulation.results[requests[i]];
+        CHECK(result.failure == forward_failure::stopping);
+        CHECK(
+            result.execution ==
+            (i < capacity ? outcome::may_have_run : outcome::not_run));
+    }
+    CHECK(simulation.attempts.size() == capacity);
+    CHECK(simulation.abandoned_attempts.size() == capacity);
+    CHECK(simulation.engine.in_flight() == 0);
+    CHECK(simulation.engine.attempts_in_flight() == 0);
+}
+
+TEST_CASE("a stop answers a gathered request that has enough parts")
+{
+    for (const auto missing : {1, 2})
+    {
+        engine_simulation simulation;
+        for (int i = 0; i < 4; ++i)
+        {
+            const auto id = "a" + std::to_string(i);
+            simulation.add_searcher("s" + std::to_string(i), id);
+            if (i < missing)
+                simulation.scripts[id] = [] {
+                    return behaviour{attempt_outcome::answered, std::nullopt};
+                };
+        }
+        const auto id =
+            simulation.start_request(simulation.make_gathered_route(4, 0.75));
+        simulation.run_for(10ms);
+        REQUIRE_FALSE(simulation.results.contains(id));
+        simulation.engine.stop();
+        REQUIRE(simulation.results.contains(id));
+        const auto& result = simulation.results[id];
+        CHECK(
+            result.failure ==
+            (missing == 1 ? forward_failure::none : forward_failure::stopping));
+        CHECK(result.part_signatures.size() == (missing == 1 ? 3 : 0));
+    }
+}
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -716,8 +716,8 @@
         listener_.stop();
         listener_.close_idle();
     }
-    shutdown_.on_in_flight_count(
-        pending_requests_.size() + listener_.busy_count());
+    // The session of a pending request is busy.
+    shutdown_.on_in_flight_count(listener_.busy_count());
 }
 
 void gateway::stop(std::size_t cut_off)
@@ -725,6 +725,17 @@
     log_.write_state(
         gateway_event::stopped,
         {{"cut_off", static_cast<std::int64_t>(cut_off)}});
+    listener_.stop();
+    listener_.close_idle();
+    engine_.stop();
+    loop_end_ = clock_.now() + last_answers_time(settings_);
+    finish_stop();
+}
+
+void gateway::finish_stop()
+{
+    if (listener_.busy_count() > 0 && clock_.now() < loop_end_)
+        return;
     log_.flush();
     loop_.stop();
 }
@@ -748,7 +759,9 @@
         });
     directory_.measure(now);
     update_instance_count();
-    if (is_draining())
+    if (shutdown_.phase() == shutdown_phase::stopped)
+        finish_stop();
+    else if (is_draining())
         finish_drain();
     log_.flush();
     next_sweep_ = clock_.now() + sweep_period;
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -205,6 +205,9 @@
     /** Stops to accept connections when no forwarded request is left, and
         tells the shutdown what is still in flight. */
     void finish_drain();
+    /** Ends the loop once the last answers have been written, or at the latest
+        when the time for them is over. */
+    void finish_stop();
 
     void sweep();
     void on_wakeup();
@@ -232,6 +235,8 @@
     feed_puller puller_;
     feed_cache feed_cache_;
     shutdown_sequence shutdown_;
+    /** When the loop ends at the latest, set at the end of the shutdown. */
+    time_point loop_end_ = time_point::max();
     wakeup_timer timer_;
     loop_timer sweep_timer_;
     time_point next_sweep_{};
--- a/modules/turmericlane_gateway/gateway/gateway_settings.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.cpp
@@ -12,6 +12,8 @@
 
 /** Time at the end of the shutdown in which requests in flight finish. */
 constexpr auto drain_timeout = 1200ms;
+/** Time after it in which the answers to the rest are written. */
+constexpr auto last_answers_timeout = 200ms;
 constexpr double thousandths = 1000.0;
 /** Share of the process's memory for answers that are being received. The
     buffers of the kernel take about as much again. */
@@ -45,11 +47,18 @@
 shutdown_limits make_shutdown_limits(const gateway_settings& settings)
 {
     shutdown_limits limits;
-    limits.total_time = settings.shutdown_timeout;
+    limits.total_time = settings.shutdown_timeout - last_answers_time(settings);
     limits.leaving_time = std::max<duration>(
         settings.shutdown_timeout - drain_timeout,
         settings.shutdown_timeout / 2);
     return limits;
 }
 
+duration last_answers_time(const gateway_settings& settings)
+{
+    constexpr int max_share_divisor = 4;
+    return std::min<duration>(
+        last_answers_timeout, settings.shutdown_timeout / max_share_divisor);
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -42,7 +42,12 @@
     bytes. */
 std::size_t max_response_bytes(const gateway_settings& settings);
 
-/** Returns the durations of the shutdown phases. */
+/** Returns the durations of the shutdown phases. They end before the shutdown
+    does, by last_answers_time. */
 shutdown_limits make_shutdown_limits(const gateway_settings& settings);
 
+/** Returns the time at the end of the shutdown in which the answers to requests
+    that could not be finished are written. */
+duration last_answers_time(const gateway_settings& settings);
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
+++ b/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace turmericlane;
 using namespace turmericlane::tests;
 using namespace std::chrono_literals;
@@ -155,6 +157,56 @@
     CHECK(log_text().find("\"cut_off\":0") != std::string::npos);
 }
 
+// Guards against requests that are cut off without an answer because they last
+// longer than the rest of the shutdown.
+TEST_CASE_FIXTURE(
+    stopping_gateway_fixture,
+    "a planned stop answers the requests that it cannot finish")
+{
+    single_route_semantics = execution_semantics::at_most_once;
+    // No request reaches its deadline, however slow the machine is.
+    route_timeout = 60s;
+    auto& silent_searcher = add_searcher(
+        "one", "a",
+        [](const std::shared_ptr<caller_session>&, const caller_request&) {});
+    start(0, 1.0);
+    // More than the searcher gets at a time; the rest waits in the gateway.
+    constexpr std::size_t caller_count = 20;
+    std::vector<std::unique_ptr<standin_caller>> callers;
+    for (std::size_t i = 0; i < caller_count; ++i)
+    {
+        callers.push_back(std::make_unique<standin_caller>(loop, port));
+        callers.back()->send(
+            "POST /one/x HTTP/1.1\r\nHost: a.example\r\nX-Id: " +
+            std::to_string(i) + "\r\nContent-Length: 0\r\n\r\n");
+    }
+    REQUIRE(run_until(loop, [&] { return !silent_searcher.requests.empty(); }));
+    instance.terminate();
+    REQUIRE(run_until(loop, [&] { return loop.stopped(); }));
+    run_until(
+        loop,
+        [&]
+        {
+            return std::all_of(
+                callers.begin(), callers.end(),
+                [](const auto& it) { return it->response || it->has_ended; });
+        });
+    std::size_t failed = 0;
+    std::size_t refused = 0;
+    for (const auto& it : callers)
+    {
+        REQUIRE(it->response);
+        CHECK_FALSE(it->response->keep_alive);
+        failed += it->response->status == 502 ? 1 : 0;
+        refused += it->response->status == 503 ? 1 : 0;
+    }
+    CHECK(failed == silent_searcher.requests.size());
+    CHECK(refused == callers.size() - failed);
+    CHECK(
+        log_text().find("\"cut_off\":" + std::to_string(caller_count)) !=
+        std::string::npos);
+}
+
 // Guards against requests that are accepted late in a shutdown and then cut
 // off.
 TEST_CASE_FIXTURE(
