Let a repeated SIGTERM cut nothing off

Cause: the second signal ended the shutdown at once, with all requests in flight. On the platform only SIGKILL asks for that, and it comes when bounds.graceS is over.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -112,6 +112,9 @@
 
 void gateway::terminate()
 {
+    // A platform may repeat the signal; that is no reason to cut requests off.
+    if (shutdown_.phase() != shutdown_phase::serving)
+        return;
     shutdown_.on_termination_signal();
     engine_.prepare_stop(shutdown_.stop_time());
     schedule_wakeup();
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -85,8 +85,8 @@
         contacted. */
     void set_seeds(std::span<const listed_instance> seeds);
 
-    /** Begins a graceful shutdown, at whose end the loop stops. A second call
-        ends it at once. */
+    /** Begins a graceful shutdown, at whose end the loop stops. Further calls
+        have no effect. */
     void terminate();
 
     /** True if callers may send requests to this instance. */
--- a/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
+++ b/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
@@ -232,6 +232,32 @@
     CHECK(searcher.requests.size() == 1);
 }
 
+// Guards against requests that are cut off because the platform sends SIGTERM
+// more than once.
+TEST_CASE_FIXTURE(
+    gateway_fixture, "a repeated termination signal cuts nothing off")
+{
+    std::shared_ptr<caller_session> working_session;
+    add_searcher(
+        "one", "a",
+        [&](const std::shared_ptr<caller_session>& session,
+            const caller_request&) { working_session = session; });
+    start(0, 1.0);
+    standin_caller caller(loop, port);
+    caller.send(request_text("/one/x"));
+    REQUIRE(run_until(loop, [&] { return working_session != nullptr; }));
+    for (int i = 0; i < 3; ++i)
+        instance.terminate();
+    CHECK_FALSE(loop.stopped());
+    std::string fields;
+    append_field(fields, "X-Signature", "sig");
+    append_field(fields, "X-Id", "77");
+    working_session->respond(200, fields, "done");
+    REQUIRE(run_until(loop, [&] { return caller.response.has_value(); }));
+    CHECK(caller.response->status == 200);
+    CHECK(caller.response->body == "done");
+}
+
 // Guards against running work that is started again, or given up, because its
 // searcher's entry lapsed: a silent machine may still be working.
 TEST_CASE_FIXTURE(
