Test answers that stop in their head through the gateway

Other operators reported that a searcher stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body. It can't happen in the gateway: only an answer whose head is complete may end with its connection. The existing tests stop answers with a length and in chunks at each byte of a connection; the new one goes through the gateway to a caller, with twelve places in heads with and without a length and after an interim answer.

--- a/modules/turmericlane_gateway/tests/hostile_searcher_tests.cpp
+++ b/modules/turmericlane_gateway/tests/hostile_searcher_tests.cpp
@@ -465,6 +465,58 @@
     CHECK(response->body.empty());
 }
 
+// Guards against an answer that stops in its head and reaches the caller as a
+// complete success without a body.
+TEST_CASE_FIXTURE(
+    gateway_fixture, "an answer that stops in its head is not an answer")
+{
+    single_route_semantics = execution_semantics::at_most_once;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Signature: sig\r\nX-Id: 1\r\n";
+    const std::string interim_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::vector<std::string> texts = {
+        // The status line, a field's name, its value, and a whole line.
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        head,
+        head + "Content-Le",
+        head + "Content-Length: 1",
+        head + "Content-Length: 0\r\n",
+        head + "Content-Length: 0\r\n\r",
+        head + "Transfer-Encoding: chunked\r\n",
+        head + "Connection: close\r\n",
+        interim_answer,
+        interim_answer + head,
+        interim_answer + head + "Content-Length: 0\r\n"};
+    auto text = texts.begin();
+    add_raw_searcher(
+        "one", "a",
+        [&](const raw_connection& connection, const std::string& request)
+        {
+            if (raw_field(request, "X-Id") == "sound")
+            {
+                connection->write(own_answer(request));
+                return;
+            }
+            connection->write(*text);
+            connection->close_after_writing();
+        });
+    start(0, 1.0);
+    for (; text != texts.end(); ++text)
+    {
+        CAPTURE(*text);
+        const auto response = get_with_id("/one/x", "1");
+        REQUIRE(response);
+        CHECK(response->status == 502);
+        CHECK(response->body.empty());
+        CHECK(field(response->fields, "X-Signature").empty());
+        // A searcher that only fails would get no more requests.
+        const auto sound_response = get_with_id("/one/x", "sound");
+        REQUIRE(sound_response);
+        CHECK(sound_response->status == 200);
+    }
+}
+
 // Guards against servers that send bytes that are no answer without end.
 TEST_CASE("an answer without end is given up")
 {
