Tests of planned stops: share the held request, say what each guards against

Cause: two tests of planned stops had the same lines for a request that is held and answered later, and three of the new tests of the engine did not say which failure they guard against.

Change: hold_request and answer_held_request serve both tests; each of the three has a line of comment. No check is changed.

--- a/modules/turmericlane_forwarding/tests/stop_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/stop_tests.cpp
@@ -51,6 +51,7 @@
     CHECK(simulation.attempts.size() == 2);
 }
 
+// Guards against accepting anything while nothing is known of a route.
 TEST_CASE("without known latencies the target tells how long a request takes")
 {
     engine_simulation simulation;
@@ -81,6 +82,7 @@
     CHECK(completion_time(tested_route, estimate) == 300ms);
 }
 
+// Guards against cutting off a gathered request that waits for late parts.
 TEST_CASE("a gathered request may wait for parts beyond its target")
 {
     work_estimate estimate;
@@ -125,6 +127,7 @@
     CHECK(simulation.engine.attempts_in_flight() == 0);
 }
 
+// Guards against parts that have arrived and are not delivered.
 TEST_CASE("a stop answers a gathered request that has enough parts")
 {
     for (const auto missing : {1, 2})
--- a/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
+++ b/modules/turmericlane_gateway/tests/planned_stop_tests.cpp
@@ -76,6 +76,24 @@
     std::unique_ptr<standin_caller> connection_;
 };
 
+/** Returns a script that keeps the session of a request open. */
+standin_searcher::script
+hold_request(std::shared_ptr<caller_session>& held_session)
+{
+    return [&held_session](
+               const std::shared_ptr<caller_session>& session,
+               const caller_request&) { held_session = session; };
+}
+
+/** Answers the request that gateway_fixture::request_text returns. */
+void answer_held_request(caller_session& held_session)
+{
+    std::string fields;
+    append_field(fields, "X-Signature", "sig");
+    append_field(fields, "X-Id", "77");
+    held_session.respond(200, fields, "done");
+}
+
 struct stopping_gateway_fixture : gateway_fixture
 {
     stopping_gateway_fixture()
@@ -238,10 +256,7 @@
     gateway_fixture, "a repeated termination signal cuts nothing off")
 {
     std::shared_ptr<caller_session> working_session;
-    add_searcher(
-        "one", "a",
-        [&](const std::shared_ptr<caller_session>& session,
-            const caller_request&) { working_session = session; });
+    add_searcher("one", "a", hold_request(working_session));
     start(0, 1.0);
     standin_caller caller(loop, port);
     caller.send(request_text("/one/x"));
@@ -249,10 +264,7 @@
     for (int i = 0; i < 3; ++i)
         instance.terminate();
     CHECK_FALSE(loop.stopped());
-    std::string fields;
-    append_field(fields, "X-Signature", "sig");
-    append_field(fields, "X-Id", "77");
-    working_session->respond(200, fields, "done");
+    answer_held_request(*working_session);
     REQUIRE(run_until(loop, [&] { return caller.response.has_value(); }));
     CHECK(caller.response->status == 200);
     CHECK(caller.response->body == "done");
@@ -264,10 +276,7 @@
     gateway_fixture, "work that runs goes on when its searcher's entry lapses")
 {
     std::shared_ptr<caller_session> working_session;
-    auto& working = add_searcher(
-        "one", "a",
-        [&](const std::shared_ptr<caller_session>& session,
-            const caller_request&) { working_session = session; });
+    auto& working = add_searcher("one", "a", hold_request(working_session));
     start(0, 1.0);
     standin_caller caller(loop, port);
     caller.send(request_text("/one/x"));
@@ -280,10 +289,7 @@
     run_for(200ms);
     CHECK_FALSE(caller.response);
     CHECK_FALSE(caller.has_ended);
-    std::string fields;
-    append_field(fields, "X-Signature", "sig");
-    append_field(fields, "X-Id", "77");
-    working_session->respond(200, fields, "done");
+    answer_held_request(*working_session);
     REQUIRE(run_until(loop, [&] { return caller.response.has_value(); }));
     CHECK(caller.response->status == 200);
     CHECK(caller.response->body == "done");
