--- a/modules/turmericlane_gateway/tests/raw_searcher.cpp
+++ b/modules/turmericlane_gateway/tests/raw_searcher.cpp
@@ -142,4 +142,24 @@
     return request.substr(value, request.find('\r', value) - value);
 }
 
+std::string make_record(char fill)
+{
+    return std::string(record_bytes, fill);
+}
+
+std::string
+own_answer(const std::string& request, const std::string& extra_fields)
+{
+    const auto id = raw_field(request, "X-Id");
+    return raw_answer("sig." + id, id, "body of " + id, extra_fields);
+}
+
+std::string
+rejection(const std::string& request, const std::string& extra_fields)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Id: " +
+           raw_field(request, "X-Id") + "\r\nContent-Length: 0\r\n" +
+           extra_fields + "\r\n";
+}
+
 } // namespace turmericlane::tests
--- a/modules/turmericlane_gateway/tests/raw_searcher.h
+++ b/modules/turmericlane_gateway/tests/raw_searcher.h
@@ -84,4 +84,17 @@
 /** Returns the value of a field of a request's text; empty if there is none. */
 std::string raw_field(const std::string& request, const std::string& name);
 
+using raw_connection = std::shared_ptr<raw_searcher::connection>;
+
+/** Returns a record that consists of one character. */
+std::string make_record(char fill);
+
+/** Returns the text of an answer whose body contains the request's id. */
+std::string
+own_answer(const std::string& request, const std::string& extra_fields = {});
+
+/** Returns the text of a rejection, which says that the request has not run. */
+std::string
+rejection(const std::string& request, const std::string& extra_fields);
+
 } // namespace turmericlane::tests
