Engine: list the requests that are open and what their searchers do

A request that is open when an instance stops left no trace of how old it was, or whether its searcher was at work. open_requests() returns both; the searcher's last answer to any request tells a silent one from a busy one.

--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -8,6 +8,7 @@
 #include "../searchers/replica_selector.h"
 #include "../searchers/searcher_registry.h"
 #include "forward_request.h"
+#include "open_request.h"
 #include "request_state.h"
 
 #include <turmericlane_decisions/timing/timer_heap.h>
@@ -115,6 +116,10 @@
         return requests_.size();
     }
 
+    /** Returns the requests without an answer, the oldest first.
+        @param max_count  largest number of requests */
+    std::vector<open_request> open_requests(std::size_t max_count) const;
+
     /** Returns the number of attempts in flight. */
     std::size_t attempts_in_flight() const noexcept
     {
@@ -207,6 +212,10 @@
     void finish(request_state& state, forward_failure failure);
     void release_attempts(const request_state& state, bool is_immediate);
     void dispatch_waiting(const std::string& service);
+    /** Appends the running attempts of a sub-request, or its state if there
+        are none. */
+    void list_attempts(
+        const request_part& part, std::vector<open_attempt>& result) const;
 
     const clock& clock_;
     const searcher_registry& searchers_;
--- a/modules/turmericlane_forwarding/engine/request_state.cpp
+++ b/modules/turmericlane_forwarding/engine/request_state.cpp
@@ -17,24 +17,6 @@
 /** A full searcher is expected to accept requests again after this time. */
 constexpr auto full_searcher_retry_after = 100ms;
 
-std::string_view part_state_name(part_state value) noexcept
-{
-    switch (value)
-    {
-    case part_state::waiting:
-        return "waiting";
-    case part_state::running:
-        return "running";
-    case part_state::postponed:
-        return "postponed";
-    case part_state::arrived:
-        return "arrived";
-    case part_state::failed:
-        return "failed";
-    }
-    return "unknown";
-}
-
 std::vector<missing_part>
 list_missing_parts(const request_state& state, time_point now)
 {
@@ -47,7 +29,7 @@
             break;
         auto& entry = result.emplace_back();
         entry.service = *it.service;
-        entry.state = part_state_name(it.state);
+        entry.state = to_string(it.state);
         if (it.tried_searchers.empty())
             continue;
         entry.searcher = it.tried_searchers.back()->entry().id;
@@ -58,6 +40,24 @@
 
 } // namespace
 
+std::string_view to_string(part_state value) noexcept
+{
+    switch (value)
+    {
+    case part_state::waiting:
+        return "waiting";
+    case part_state::running:
+        return "running";
+    case part_state::postponed:
+        return "postponed";
+    case part_state::arrived:
+        return "arrived";
+    case part_state::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 forward_result
 make_result(request_state& state, forward_failure failure, time_point now)
 {
--- a/modules/turmericlane_forwarding/engine/request_state.h
+++ b/modules/turmericlane_forwarding/engine/request_state.h
@@ -22,6 +22,9 @@
     failed
 };
 
+/** Returns the name for logs. */
+std::string_view to_string(part_state value) noexcept;
+
 /** A sub-request: the only one of a request, or the one to a shard. */
 struct request_part
 {
--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -157,6 +157,13 @@
         return quiet_end_;
     }
 
+    /** Returns when the searcher last answered any request, also with an error;
+        the start of the clock if it never did. */
+    time_point last_answer_time() const noexcept
+    {
+        return last_answer_time_;
+    }
+
     /** Call when an answer echoed the id of its request. */
     void on_id_echoed() noexcept
     {
