Log what is open at a signal and at the end of a stop, and cut connections

No line named a request that was open when an instance ended, nor how its caller's connection ended. Added: termination_signal (also each ignored one), reload_signal, counts in shutdown_phase and stopped, request_open for each request that is open at the end, connection_cut for each connection whose answer is not wholly delivered (also counted by cause), and loop_ended as the last line. The final lines of open requests are not subject to the rate limit.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -44,6 +44,7 @@
     , settings_(std::move(settings))
     , log_(log)
     , recorder_(log, metrics_)
+    , shutdown_recorder_(log)
     , registry_(time, *this)
     , response_memory_(max_response_bytes(settings_))
     , pool_(loop, time, settings_.names, response_memory_, *this)
@@ -112,6 +113,9 @@
 
 void gateway::terminate()
 {
+    if (!signal_time_)
+        signal_time_ = clock_.now();
+    shutdown_recorder_.on_signal(make_snapshot());
     // A platform may repeat the signal; that is no reason to cut requests off.
     if (shutdown_.phase() != shutdown_phase::serving)
         return;
@@ -231,6 +235,7 @@
 void gateway::on_request(
     const std::shared_ptr<caller_session>& session, caller_request&& request)
 {
+    session->request_label = field(request.fields, settings_.names.request_id);
     if (is_draining())
     {
         refuse(*session, request, local_refusal::leaving, 503);
@@ -295,6 +300,12 @@
     recorder_.on_malformed(status);
 }
 
+void gateway::on_connection_ended(
+    caller_session& session, const connection_report& report)
+{
+    recorder_.on_connection_cut(session.request_label, report);
+}
+
 const caller_limits& gateway::limits() const
 {
     return routes_ ? routes_->configuration().limits : default_limits_;
@@ -688,18 +699,14 @@
 
 void gateway::leave()
 {
-    log_.write_state(
-        gateway_event::shutdown_phase,
-        {{"phase", to_string(shutdown_.phase())}});
+    shutdown_recorder_.on_phase(make_snapshot());
     peers_.leave();
     choose_instances();
 }
 
 void gateway::drain()
 {
-    log_.write_state(
-        gateway_event::shutdown_phase,
-        {{"phase", to_string(shutdown_.phase())}});
+    shutdown_recorder_.on_phase(make_snapshot());
     listener_.close_idle();
 }
 
@@ -725,9 +732,14 @@
 
 void gateway::stop(std::size_t cut_off)
 {
-    log_.write_state(
-        gateway_event::stopped,
-        {{"cut_off", static_cast<std::int64_t>(cut_off)}});
+    constexpr auto max_listed = shutdown_recorder::max_listed_requests;
+    const auto pending = pending_requests_.size();
+    shutdown_recorder_.on_stop(
+        make_snapshot(), cut_off,
+        pending > max_listed ? pending - max_listed : 0);
+    record_open_requests();
+    log_.flush();
+    recorder_.expect_last_requests(max_listed);
     listener_.stop();
     listener_.close_idle();
     engine_.stop();
@@ -739,10 +751,40 @@
 {
     if (listener_.busy_count() > 0 && clock_.now() < loop_end_)
         return;
+    listener_.report_process_end();
+    shutdown_recorder_.on_loop_end(make_snapshot());
     log_.flush();
     loop_.stop();
 }
 
+shutdown_snapshot gateway::make_snapshot() const
+{
+    shutdown_snapshot snapshot;
+    snapshot.phase = to_string(shutdown_.phase());
+    if (signal_time_)
+        snapshot.since_signal = clock_.now() - *signal_time_;
+    snapshot.pending = pending_requests_.size();
+    snapshot.sessions = listener_.count_sessions();
+    snapshot.loop_lag = lag_;
+    return snapshot;
+}
+
+void gateway::record_open_requests()
+{
+    const auto since_signal =
+        signal_time_ ? clock_.now() - *signal_time_ : duration::zero();
+    for (const auto& it :
+         engine_.open_requests(shutdown_recorder::max_listed_requests))
+    {
+        const auto position = pending_requests_.find(it.id);
+        if (position == pending_requests_.end())
+            continue;
+        shutdown_recorder_.on_open_request(
+            it, position->second.outgoing.id, position->second.route_name,
+            since_signal);
+    }
+}
+
 void gateway::sweep()
 {
     const auto now = clock_.now();
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "../log/json_log.h"
 #include "../log/request_recorder.h"
+#include "../log/shutdown_recorder.h"
 #include "../peers/departure_log.h"
 #include "../peers/feed_cache.h"
 #include "../peers/feed_puller.h"
@@ -86,7 +87,7 @@
     void set_seeds(std::span<const listed_instance> seeds);
 
     /** Begins a graceful shutdown, at whose end the loop stops. Further calls
-        have no effect. */
+        are logged and have no other effect. */
     void terminate();
 
     /** True if callers may send requests to this instance. */
@@ -133,6 +134,8 @@
         caller_request&& request) override;
     void on_caller_left(caller_session& session) override;
     void on_bad_request(unsigned status) override;
+    void on_connection_ended(
+        caller_session& session, const connection_report& report) override;
     const caller_limits& limits() const override;
     bool is_closing() const override;
     std::uint64_t configuration_version() const;
@@ -208,6 +211,9 @@
     /** Ends the loop once the last answers have been written, or at the latest
         when the time for them is over. */
     void finish_stop();
+    shutdown_snapshot make_snapshot() const;
+    /** Writes the open requests to the log, up to a bound. */
+    void record_open_requests();
 
     void sweep();
     void on_wakeup();
@@ -219,6 +225,7 @@
     json_log& log_;
     gateway_metrics metrics_;
     request_recorder recorder_;
+    shutdown_recorder shutdown_recorder_;
     searcher_registry registry_;
     response_memory response_memory_;
     searcher_pool pool_;
@@ -235,6 +242,8 @@
     feed_puller puller_;
     feed_cache feed_cache_;
     shutdown_sequence shutdown_;
+    /** When the first termination signal was received. */
+    std::optional<time_point> signal_time_;
     /** When the loop ends at the latest, set at the end of the shutdown. */
     time_point loop_end_ = time_point::max();
     wakeup_timer timer_;
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -90,6 +90,16 @@
         .add();
 }
 
+void gateway_metrics::on_connection_cut(caller_connection_end cause)
+{
+    registry_
+        ->counter_of(
+            "turmericlane_connections_cut_total",
+            "Callers' connections that ended before the answer was delivered.",
+            {{"cause", std::string(to_string(cause))}})
+        .add();
+}
+
 void gateway_metrics::on_extra_attempt(bool is_hedge)
 {
     registry_
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.h
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../http/connection_report.h"
+
 #include <turmericlane_forwarding/turmericlane_forwarding.h>
 #include <turmericlane_metrics/turmericlane_metrics.h>
 
@@ -33,6 +35,10 @@
         @param is_hedge  true for a hedge, false for a retry */
     void on_extra_attempt(bool is_hedge);
 
+    /** Counts a caller's connection that ended before the answer was wholly
+        delivered. */
+    void on_connection_cut(caller_connection_end cause);
+
     counter& requests_abandoned;
     counter& quiet_requests;
     counter& odd_fields;
--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -4,7 +4,9 @@
 
 #include <cassert>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace turmericlane
@@ -31,6 +33,23 @@
     return buffer;
 }
 
+std::size_t query_bytes(tcp_socket& socket, unsigned long request)
+{
+    int n = 0;
+    if (::ioctl(socket.native_handle(), request, &n) != 0 || n < 0)
+        return 0;
+    return static_cast<std::size_t>(n);
+}
+
+caller_connection_end to_connection_end(boost::system::error_code read_error)
+{
+    if (read_error == boost::asio::error::eof)
+        return caller_connection_end::caller_closed;
+    if (read_error == boost::asio::error::connection_reset)
+        return caller_connection_end::caller_reset;
+    return caller_connection_end::caller_lost;
+}
+
 } // namespace
 
 caller_session::caller_session(
@@ -79,8 +98,15 @@
     response_text_.append("\r\n");
     if (!is_head_request_ && status != 204 && status != 304)
         response_text_.append(body);
+    written_bytes_ = 0;
     boost::asio::async_write(
         socket_, boost::asio::buffer(response_text_),
+        [this, is_all_written = boost::asio::transfer_all()](
+            boost::system::error_code ec, std::size_t n) mutable
+        {
+            written_bytes_ = n;
+            return is_all_written(ec, n);
+        },
         [self = shared_from_this(),
          is_last_response](boost::system::error_code ec, std::size_t)
         { self->on_written(ec, is_last_response); });
@@ -94,7 +120,7 @@
     {
     case state::idle:
         if (time_in_state >= handler_.limits().idle_timeout)
-            close();
+            close(caller_connection_end::idle_timeout);
         break;
     case state::reading:
         if (time_in_state >= handler_.limits().idle_timeout ||
@@ -104,11 +130,11 @@
         break;
     case state::writing:
         if (time_in_state >= write_timeout)
-            close();
+            close(caller_connection_end::write_timeout);
         break;
     case state::draining:
         if (time_in_state >= discard_timeout)
-            close();
+            close(caller_connection_end::discard_timeout);
         break;
     case state::handling:
     case state::closed:
@@ -132,7 +158,39 @@
 void caller_session::close_if_idle()
 {
     if (state_ == state::idle)
-        close();
+        close(caller_connection_end::closed_idle);
+}
+
+void caller_session::add_to(session_counts& counts)
+{
+    switch (state_)
+    {
+    case state::idle:
+        ++counts.idle;
+        break;
+    case state::reading:
+        ++counts.reading;
+        break;
+    case state::handling:
+        ++counts.handling;
+        break;
+    case state::writing:
+        ++counts.writing;
+        break;
+    case state::draining:
+        ++counts.discarding;
+        break;
+    case state::closed:
+        return;
+    }
+    counts.unacknowledged_bytes += unacknowledged_bytes();
+    counts.unread_bytes += unread_bytes();
+}
+
+void caller_session::report_process_end()
+{
+    if (state_ != state::closed)
+        report_end(caller_connection_end::process_end);
 }
 
 void caller_session::read()
@@ -150,7 +208,7 @@
             if (ec && ec != boost::asio::error::would_block)
             {
                 const auto was_handling = self->state_ == state::handling;
-                self->close();
+                self->close(to_connection_end(ec));
                 if (was_handling)
                     self->handler_.on_caller_left(*self);
                 return;
@@ -242,6 +300,7 @@
 void caller_session::refuse(unsigned status)
 {
     handler_.on_bad_request(status);
+    request_label.clear();
     state_ = state::handling;
     is_head_request_ = false;
     respond(status, {}, {}, true);
@@ -253,7 +312,7 @@
         return;
     if (ec)
     {
-        close();
+        close(caller_connection_end::write_error);
         return;
     }
     state_start_ = clock_.now();
@@ -275,11 +334,64 @@
     }
 }
 
-void caller_session::close()
+void caller_session::close(caller_connection_end cause)
 {
+    report_end(cause);
     state_ = state::closed;
     boost::system::error_code ec;
     socket_.close(ec);
 }
 
+std::size_t caller_session::unacknowledged_bytes()
+{
+    const auto n = query_bytes(socket_, SIOCOUTQ);
+    // The end of the stream counts as one byte.
+    return state_ == state::draining && n > 0 ? n - 1 : n;
+}
+
+std::size_t caller_session::unread_bytes()
+{
+    return query_bytes(socket_, FIONREAD);
+}
+
+void caller_session::report_end(caller_connection_end cause)
+{
+    connection_report report;
+    report.cause = cause;
+    report.unacknowledged_bytes = unacknowledged_bytes();
+    report.unread_bytes = unread_bytes();
+    auto is_delivered = report.unacknowledged_bytes == 0;
+    switch (state_)
+    {
+    case state::handling:
+        report.state = "handling";
+        is_delivered = false;
+        break;
+    case state::writing:
+        report.state = "writing";
+        report.written_bytes = written_bytes_;
+        report.unwritten_bytes = response_text_.size() - written_bytes_;
+        is_delivered = false;
+        break;
+    case state::draining:
+        report.state = "discarding";
+        report.written_bytes = written_bytes_;
+        is_delivered = is_delivered && report.unread_bytes == 0;
+        break;
+    case state::idle:
+        report.state = "idle";
+        report.written_bytes = written_bytes_;
+        is_delivered = is_delivered && report.unread_bytes == 0;
+        break;
+    case state::reading:
+        report.state = "reading";
+        report.written_bytes = written_bytes_;
+        break;
+    case state::closed:
+        return;
+    }
+    if (!is_delivered)
+        handler_.on_connection_ended(*this, report);
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "../loop/event_loop.h"
+#include "connection_report.h"
 #include "http_message.h"
+#include "session_counts.h"
 
 #include <turmericlane_core/turmericlane_core.h>
 #include <turmericlane_forwarding/model/route_configuration.h>
@@ -37,6 +39,12 @@
         @param status  HTTP status of the answer */
     virtual void on_bad_request(unsigned status) = 0;
 
+    /** A connection ended before the answer to its latest request was wholly
+        delivered, or with unread bytes of a further request. */
+    virtual void on_connection_ended(caller_session&, const connection_report&)
+    {
+    }
+
     /** Returns the limits on what callers may send. */
     virtual const caller_limits& limits() const = 0;
 
@@ -80,6 +88,9 @@
         it. */
     std::uint64_t request_number = 0;
 
+    /** The caller's id of the latest request, for logs; set by the handler. */
+    std::string request_label;
+
     /** Applies the timeouts; to be called every few hundred milliseconds.
         @returns false if the session has ended */
     bool sweep();
@@ -92,6 +103,13 @@
     /** Closes the connection if it carries no request. */
     void close_if_idle();
 
+    /** Adds this session to the counts unless it has ended. */
+    void add_to(session_counts& counts);
+
+    /** Reports to session_handler::on_connection_ended what is not delivered
+        yet. To be called when the process ends. */
+    void report_process_end();
+
     /** True while a request is being handled or its answer is being written. */
     bool is_busy() const noexcept
     {
@@ -121,7 +139,15 @@
     void on_parse_error(boost::system::error_code ec);
     void refuse(unsigned status);
     void on_written(boost::system::error_code ec, bool must_close);
-    void close();
+    void close(caller_connection_end cause);
+    /** Returns the bytes in the system's buffers for this connection that the
+        other side has not acknowledged. */
+    std::size_t unacknowledged_bytes();
+    /** Returns the received bytes that were not read yet. */
+    std::size_t unread_bytes();
+    /** Reports the end of the connection if the answer to a request is not
+        wholly delivered or received bytes are unread. */
+    void report_end(caller_connection_end cause);
 
     tcp_socket socket_;
     session_handler& handler_;
@@ -134,6 +160,8 @@
     bool is_first_request_ = true;
     std::string unparsed_bytes_;
     std::string response_text_;
+    /** Bytes of response_text_ that the system has taken over. */
+    std::size_t written_bytes_ = 0;
     std::optional<parser> parser_;
 };
 
--- a/modules/turmericlane_gateway/http/http_listener.cpp
+++ b/modules/turmericlane_gateway/http/http_listener.cpp
@@ -67,6 +67,20 @@
     return n;
 }
 
+session_counts http_listener::count_sessions() const
+{
+    session_counts counts;
+    for (const auto& it : sessions_)
+        it->add_to(counts);
+    return counts;
+}
+
+void http_listener::report_process_end()
+{
+    for (const auto& it : sessions_)
+        it->report_process_end();
+}
+
 void http_listener::accept()
 {
     acceptor_.async_accept(
--- a/modules/turmericlane_gateway/http/http_listener.h
+++ b/modules/turmericlane_gateway/http/http_listener.h
@@ -37,6 +37,13 @@
         are being written. */
     std::size_t busy_count() const;
 
+    /** Returns the open connections by state. */
+    session_counts count_sessions() const;
+
+    /** Reports the connections whose answers are not delivered when the process
+        ends. */
+    void report_process_end();
+
     /** Returns the number of open connections. */
     std::size_t connection_count() const noexcept
     {
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -31,6 +31,9 @@
     {gateway_event::stopped, "stopped"},
     {gateway_event::process_paused, "process_paused"},
     {gateway_event::lines_dropped, "lines_dropped"},
+    {gateway_event::termination_signal, "termination_signal"},
+    {gateway_event::reload_signal, "reload_signal"},
+    {gateway_event::loop_ended, "loop_ended"},
     {gateway_event::configuration_in_force, "configuration_in_force"},
     {gateway_event::configuration_ignored, "configuration_ignored"},
     {gateway_event::store_lost, "store_lost"},
@@ -47,6 +50,8 @@
     {gateway_event::request_failed, "request_failed"},
     {gateway_event::request_abandoned, "request_abandoned"},
     {gateway_event::request_malformed, "request_malformed"},
+    {gateway_event::request_open, "request_open"},
+    {gateway_event::connection_cut, "connection_cut"},
     {gateway_event::attempt_failed, "attempt_failed"},
     {gateway_event::attempt_repeated, "attempt_repeated"},
     {gateway_event::answer_unmatched, "answer_unmatched"},
@@ -102,11 +107,17 @@
         return;
     }
     tokens_ -= 1.0;
-    append(event, fields);
+    append(event, {fields.begin(), fields.size()});
 }
 
 void json_log::write_state(
     gateway_event event, std::initializer_list<log_field> fields)
+{
+    append(event, {fields.begin(), fields.size()});
+}
+
+void json_log::write_state(
+    gateway_event event, std::span<const log_field> fields)
 {
     append(event, fields);
 }
@@ -117,7 +128,7 @@
     if (dropped_line_count_ != reported_line_count_ &&
         buffer_.size() < max_buffered_bytes / 2)
     {
-        append(
+        write_state(
             gateway_event::lines_dropped,
             {{"lines", static_cast<std::int64_t>(
                            dropped_line_count_ - reported_line_count_)}});
@@ -133,8 +144,7 @@
     }
 }
 
-void json_log::append(
-    gateway_event event, std::initializer_list<log_field> fields)
+void json_log::append(gateway_event event, std::span<const log_field> fields)
 {
     if (buffer_.size() > max_buffered_bytes)
     {
--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -27,6 +28,9 @@
     stopped = 6005,
     process_paused = 6006,
     lines_dropped = 6007,
+    termination_signal = 6008,
+    reload_signal = 6009,
+    loop_ended = 6010,
     configuration_in_force = 6101,
     configuration_ignored = 6102,
     store_lost = 6103,
@@ -43,6 +47,8 @@
     request_failed = 6403,
     request_abandoned = 6404,
     request_malformed = 6405,
+    request_open = 6406,
+    connection_cut = 6407,
     attempt_failed = 6501,
     attempt_repeated = 6502,
     answer_unmatched = 6503,
@@ -91,6 +97,9 @@
     void
     write_state(gateway_event event, std::initializer_list<log_field> fields);
 
+    /** The same, with fields that are not known until the call. */
+    void write_state(gateway_event event, std::span<const log_field> fields);
+
     /** Writes buffered lines until all are written or the descriptor would
         block. */
     void flush();
@@ -102,7 +111,7 @@
     }
 
 private:
-    void append(gateway_event event, std::initializer_list<log_field> fields);
+    void append(gateway_event event, std::span<const log_field> fields);
     void refill_tokens();
 
     using descriptor_stream =
--- a/modules/turmericlane_gateway/log/request_recorder.cpp
+++ b/modules/turmericlane_gateway/log/request_recorder.cpp
@@ -68,11 +68,12 @@
     const auto sampling_interval = result.extra_attempts > 0
                                        ? extra_attempt_sampling_interval
                                        : usual_sampling_interval;
-    if (is_usual && ++sampling_counter_ % sampling_interval != 0)
+    if (is_usual && last_results_ == 0 &&
+        ++sampling_counter_ % sampling_interval != 0)
         return;
     const auto missing_parts = describe_missing_parts(result);
-    log_.write_detail(
-        to_event(result),
+    write_last(
+        last_results_, to_event(result),
         {{"request", request.request_id},
          {"route", request.route_name},
          {"why", to_string(result.failure)},
@@ -117,6 +118,43 @@
          {"version", static_cast<std::int64_t>(configuration_version)}});
 }
 
+void request_recorder::on_connection_cut(
+    std::string_view request_id, const connection_report& report)
+{
+    const auto bytes = [](std::size_t value)
+    { return static_cast<std::int64_t>(value); };
+    metrics_.on_connection_cut(report.cause);
+    write_last(
+        last_connections_, gateway_event::connection_cut,
+        {{"request", request_id},
+         {"cause", to_string(report.cause)},
+         {"state", report.state},
+         {"written_bytes", bytes(report.written_bytes)},
+         {"unwritten_bytes", bytes(report.unwritten_bytes)},
+         {"unacknowledged_bytes", bytes(report.unacknowledged_bytes)},
+         {"unread_bytes", bytes(report.unread_bytes)}});
+}
+
+void request_recorder::expect_last_requests(std::size_t count)
+{
+    last_results_ = count;
+    last_connections_ = count;
+}
+
+void request_recorder::write_last(
+    std::size_t& lines_left,
+    gateway_event event,
+    std::initializer_list<log_field> fields)
+{
+    if (lines_left == 0)
+    {
+        log_.write_detail(event, fields);
+        return;
+    }
+    --lines_left;
+    log_.write_state(event, fields);
+}
+
 void request_recorder::on_malformed(unsigned status)
 {
     metrics_.on_local_refusal(status);
--- a/modules/turmericlane_gateway/log/request_recorder.h
+++ b/modules/turmericlane_gateway/log/request_recorder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../gateway/gateway_metrics.h"
+#include "../http/connection_report.h"
 #include "json_log.h"
 
 namespace turmericlane
@@ -67,6 +68,18 @@
         duration retry_after,
         std::uint64_t configuration_version);
 
+    /** The connection of a caller ended although its latest request has no
+        wholly delivered answer.
+        @param request_id  id of that request; may be empty */
+    void on_connection_cut(
+        std::string_view request_id, const connection_report& report);
+
+    /** The instance is about to end its open requests: lines about the next
+        ones are written without sampling and rate limit.
+        @param count  number of requests, and of connections, for which this
+                      holds */
+    void expect_last_requests(std::size_t count);
+
     /** Bytes that are not a valid request were received.
         @param status  HTTP status of the answer */
     void on_malformed(unsigned status);
@@ -99,9 +112,19 @@
         attempt_outcome failure);
 
 private:
+    /** Writes a line that is subject to the rate limit unless some of the last
+        lines are left. */
+    void write_last(
+        std::size_t& lines_left,
+        gateway_event event,
+        std::initializer_list<log_field> fields);
+
     json_log& log_;
     gateway_metrics& metrics_;
     std::uint64_t sampling_counter_ = 0;
+    /** Lines left to which the rate limit does not apply. */
+    std::size_t last_results_ = 0;
+    std::size_t last_connections_ = 0;
 };
 
 } // namespace turmericlane
