--- a/modules/turmericlane_forwarding/tests/stop_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/stop_tests.cpp
@@ -155,3 +155,67 @@
         CHECK(result.part_signatures.size() == (missing == 1 ? 3 : 0));
     }
 }
+
+// Guards against a silent searcher that cannot be told from one at work when a
+// stop has cut a request.
+TEST_CASE("an open request shows its age and what its searcher does")
+{
+    engine_simulation simulation;
+    simulation.add_searcher("one", "a");
+    auto is_held = true;
+    simulation.scripts["a"] = [&is_held]
+    {
+        behaviour result;
+        if (is_held)
+            result.delay = std::nullopt;
+        return result;
+    };
+    const auto tested_route =
+        simulation.make_single_route("one", execution_semantics::at_most_once);
+    const auto held = simulation.start_request(tested_route, 1s);
+    simulation.run_for(300ms);
+    const auto silent = simulation.engine.open_requests(10);
+    REQUIRE(silent.size() == 1);
+    CHECK(silent.front().id == held);
+    CHECK(silent.front().age == 300ms);
+    CHECK(silent.front().time_left > 600ms);
+    CHECK(silent.front().time_left <= 700ms);
+    REQUIRE(silent.front().attempts.size() == 1);
+    CHECK(silent.front().attempts.front().searcher == "a");
+    CHECK(silent.front().attempts.front().state == "running");
+    CHECK(silent.front().attempts.front().age == 300ms);
+    CHECK(silent.front().attempts.front().silence == 300ms);
+
+    is_held = false;
+    simulation.start_request(tested_route, 1s);
+    simulation.run_for(105ms);
+    const auto at_work = simulation.engine.open_requests(10);
+    REQUIRE(at_work.size() == 1);
+    REQUIRE(at_work.front().attempts.size() == 1);
+    CHECK(at_work.front().attempts.front().age == 405ms);
+    CHECK(at_work.front().attempts.front().silence == 100ms);
+}
+
+// Guards against a log that grows with the number of open requests.
+TEST_CASE("the list of open requests is bounded and begins with the oldest")
+{
+    engine_simulation simulation;
+    simulation.add_searcher("one", "a");
+    simulation.scripts["a"] = [] {
+        return behaviour{attempt_outcome::answered, std::nullopt};
+    };
+    const auto tested_route =
+        simulation.make_single_route("one", execution_semantics::at_most_once);
+    std::vector<request_handle> ids;
+    for (int i = 0; i < 12; ++i)
+        ids.push_back(simulation.start_request(tested_route));
+    REQUIRE(simulation.engine.in_flight() == ids.size());
+    const auto listed = simulation.engine.open_requests(10);
+    REQUIRE(listed.size() == 10);
+    CHECK(listed.front().id == ids.front());
+    CHECK(listed.back().id == ids[9]);
+    // The searcher's room is for eight; the others wait.
+    REQUIRE(listed.back().attempts.size() == 1);
+    CHECK(listed.back().attempts.front().state == "waiting");
+    CHECK(listed.back().attempts.front().searcher.empty());
+}
