--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -108,8 +108,11 @@
             return is_all_written(ec, n);
         },
         [self = shared_from_this(),
-         is_last_response](boost::system::error_code ec, std::size_t)
-        { self->on_written(ec, is_last_response); });
+         is_last_response](boost::system::error_code ec, std::size_t n)
+        {
+            self->written_bytes_ = n;
+            self->on_written(ec, is_last_response);
+        });
 }
 
 bool caller_session::sweep()
