explain: say how a planned stop or a connection's end cut a request

The cause line said only that the instance was stopping. It now says when the request was read, whether its searcher was silent or at work, and what was written of an answer that was not delivered. A stop without its last lines is noted, also when no line names the request. The tests cover each picture.

--- a/apps/turmericlane/explain_command.cpp
+++ b/apps/turmericlane/explain_command.cpp
@@ -32,8 +32,11 @@
     log_explainer explainer(request_ids.front());
     explainer.read(std::cin);
     if (explainer.line_count() == 0)
+    {
+        std::cout << explainer.stop_notes();
         return report_failure(
             "no line of the log names request " + request_ids.front());
+    }
     std::cout << explainer.text();
     return exit_ok;
 }
--- a/apps/turmericlane/log_explainer.cpp
+++ b/apps/turmericlane/log_explainer.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 #include <istream>
 #include <sstream>
 
@@ -90,6 +91,69 @@
     return description;
 }
 
+/** Returns what was open at the end of a planned stop, and why. */
+std::string describe_open_request(const json& line)
+{
+    const auto read_ms = line.value("read_after_signal_ms", 0LL);
+    const auto searchers = field_text(line, "searchers");
+    std::string text = "still open at the end of a planned stop, " +
+                       field_text(line, "since_signal_ms") +
+                       " ms after the signal; read " +
+                       std::to_string(std::abs(read_ms)) + " ms " +
+                       (read_ms < 0 ? "before" : "after") + " the signal, ";
+    if (searchers == "silent")
+        text += "its searcher was silent";
+    else if (searchers == "at_work")
+        text += "its searcher was at work";
+    else
+        text += "no searcher had it";
+    return text + " (" + field_text(line, "open_parts") + ")";
+}
+
+std::string describe_connection_end(const std::string& cause)
+{
+    if (cause == "caller_closed")
+        return "the caller closed its connection";
+    if (cause == "caller_reset")
+        return "the caller reset its connection";
+    if (cause == "caller_lost")
+        return "the caller's host could not be reached";
+    if (cause == "write_error")
+        return "writing to the caller failed";
+    if (cause == "write_timeout")
+        return "the caller had not read its answer in time";
+    if (cause == "discard_timeout" || cause == "idle_timeout")
+        return "the connection was closed after its timeout";
+    if (cause == "closed_idle")
+        return "the instance closed the idle connection for its shutdown";
+    if (cause == "process_end")
+        return "the process ended";
+    return cause;
+}
+
+/** Returns what the caller got of the answer when its connection ended. */
+std::string describe_cut_connection(const json& line)
+{
+    const auto end = describe_connection_end(field_text(line, "cause"));
+    const auto state = field_text(line, "state");
+    if (state == "handling")
+        return end + " before an answer was written";
+    if (state == "writing")
+        return end + " while the answer was being written: " +
+               field_text(line, "written_bytes") + " bytes were, " +
+               field_text(line, "unwritten_bytes") + " were not";
+    std::string text = "an answer of " + field_text(line, "written_bytes") +
+                       " bytes was written, but " + end + " with ";
+    if (line.value("unread_bytes", 0LL) == 0)
+        return text + field_text(line, "unacknowledged_bytes") +
+               " bytes that the caller's host had not acknowledged";
+    text += field_text(line, "unread_bytes") +
+            " unread bytes of the caller, which resets the connection: ";
+    return text + (state == "idle" ? "a further request is lost unread, and "
+                                     "the answer may be lost"
+                                   : "the answer may be lost");
+}
+
 std::string describe_event(const std::string& event, const json& line)
 {
     if (event == "attempt_failed")
@@ -102,6 +166,10 @@
     if (event == "request_abandoned")
         return "the caller disconnected after " + field_text(line, "after_ms") +
                " ms";
+    if (event == "request_open")
+        return describe_open_request(line);
+    if (event == "connection_cut")
+        return describe_cut_connection(line);
     if (line.contains("status"))
         return event + " with " + field_text(line, "status");
     return event + " after " + field_text(line, "took_ms") + " of " +
@@ -131,24 +199,68 @@
         [](const log_line& a, const log_line& b)
         { return a.time_ms < b.time_ms; });
     std::ostringstream report;
-    std::string cause;
     for (const auto& it : lines)
-    {
         report << it.time_ms << ' ' << it.instance << ": " << it.sentence
                << '\n';
-        if (!it.cause.empty())
-            cause = it.cause;
-    }
-    if (cause.empty())
-        cause = "no line records its end: it ended normally, which is logged "
-                "for only a sample of requests, or it reached no instance";
-    report << "cause: " << cause << '\n';
+    report << "cause: " << find_cause(lines) << '\n';
+    report << stop_notes();
     if (store_lost_count_ > 0)
         report << "note: " << store_lost_count_
                << " lines report that the store was unreachable\n";
     return report.str();
 }
 
+std::string log_explainer::stop_notes() const
+{
+    std::ostringstream report;
+    for (const auto& [instance, steps] : stops_)
+    {
+        if (steps.is_open || steps.was_cut)
+            report << "note: " << instance
+                   << " got a termination signal and no line records its end: "
+                      "it was killed before, or still runs\n";
+    }
+    return report.str();
+}
+
+std::string log_explainer::find_cause(const std::vector<log_line>& lines)
+{
+    std::string cause;
+    std::string stop_cause;
+    std::string connection_cause;
+    for (const auto& it : lines)
+    {
+        if (!it.cause.empty())
+            cause = it.cause;
+        if (!it.stop_cause.empty())
+            stop_cause = it.stop_cause;
+        if (!it.connection_cause.empty())
+            connection_cause = it.connection_cause;
+    }
+    // The final line of a request that a stop has cut only says that it was
+    // stopping.
+    if (!stop_cause.empty())
+        cause = stop_cause;
+    if (cause.empty() && connection_cause.empty())
+        return "no line records its end: it ended normally, which is logged "
+               "for only a sample of requests, or it reached no instance";
+    if (cause.empty() || connection_cause.empty())
+        return cause + connection_cause;
+    return cause + "; " + connection_cause;
+}
+
+void log_explainer::track_stop(
+    const std::string& event, const std::string& instance)
+{
+    if (event != "termination_signal" && event != "stopped" &&
+        event != "started")
+        return;
+    auto& steps = stops_[instance];
+    if (event == "started")
+        steps.was_cut = steps.was_cut || steps.is_open;
+    steps.is_open = event == "termination_signal";
+}
+
 void log_explainer::add_line(std::string_view text)
 {
     // Log collectors prefix the JSON object with text of their own.
@@ -161,6 +273,8 @@
     const auto event = field_text(line, "name");
     if (event == "store_lost")
         ++store_lost_count_;
+    if (!line.value("ignored", false))
+        track_stop(event, field_text(line, "instance"));
     if (field_text(line, "request") != request_id_)
         return;
     log_line entry;
@@ -174,6 +288,10 @@
         entry.cause = describe_failure(line);
     else if (event == "request_abandoned")
         entry.cause = "the caller disconnected before the answer";
+    else if (event == "request_open")
+        entry.stop_cause = entry.sentence;
+    else if (event == "connection_cut")
+        entry.connection_cause = entry.sentence;
     lines_.push_back(std::move(entry));
 }
 
--- a/apps/turmericlane/log_explainer.h
+++ b/apps/turmericlane/log_explainer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <iosfwd>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,11 @@
     /** Returns a report: the lines in order of time, and the cause in words. */
     std::string text() const;
 
+    /** Returns a line for each instance that got a termination signal and has
+        no line of its end: a request that such an instance had may have no line
+        at all. The lines of an instance must have been read in order. */
+    std::string stop_notes() const;
+
 private:
     struct log_line
     {
@@ -43,13 +49,30 @@
         std::string sentence;
         /** Empty unless the line records the end of the request. */
         std::string cause;
+        /** Empty unless the line says what was open at the end of a planned
+            stop. */
+        std::string stop_cause;
+        /** Empty unless the line says how the caller's connection ended. */
+        std::string connection_cause;
+    };
+
+    /** Steps of a planned stop of an instance. */
+    struct stop_steps
+    {
+        /** It got a termination signal and has not ended yet. */
+        bool is_open = false;
+        /** It started again although its stop had not ended. */
+        bool was_cut = false;
     };
 
     void add_line(std::string_view text);
+    void track_stop(const std::string& event, const std::string& instance);
+    static std::string find_cause(const std::vector<log_line>& lines);
 
     std::string request_id_;
     std::vector<log_line> lines_;
     std::size_t store_lost_count_ = 0;
+    std::map<std::string, stop_steps> stops_;
 };
 
 } // namespace turmericlane
--- a/apps/turmericlane/tests/explain_tests.cpp
+++ b/apps/turmericlane/tests/explain_tests.cpp
@@ -91,3 +91,103 @@
     CHECK(text.find("cause: all attempts") != std::string::npos);
     CHECK(text.find("store was unreachable") != std::string::npos);
 }
+
+// Guards against a request that a planned stop has cut and whose searcher's
+// part in it cannot be seen.
+TEST_CASE("a request cut by a planned stop is explained by its searcher")
+{
+    const auto log = [](const std::string& searchers, const std::string& read)
+    {
+        return R"({"time_ms":50,"instance":"a-1","name":"request_open",)"
+               R"("request":"r1","route":"x","open_ms":5900,)"
+               R"("since_signal_ms":5300,"read_after_signal_ms":)" +
+               read + R"(,"time_left_ms":1700,"searchers":")" + searchers +
+               R"(","attempts":1,"open_parts":"s1@i-1 running 5890 silent )"
+               R"(5890"})"
+               "\n"
+               R"({"time_ms":50,"instance":"a-1","name":"request_failed",)"
+               R"("request":"r1","why":"stopping","took_ms":5900,)"
+               R"("target_ms":50,"missing_parts":"s1@i-1 running 5890",)"
+               R"("attempts":1,"repeats":0})";
+    };
+    CHECK(
+        explain("r1", log("silent", "-600"))
+            .find("cause: still open at the end of a planned stop, 5300 ms "
+                  "after the signal; read 600 ms before the signal, its "
+                  "searcher was silent (s1@i-1 running 5890 silent 5890)\n") !=
+        std::string::npos);
+    CHECK(
+        explain("r1", log("at_work", "3400"))
+            .find("read 3400 ms after the signal, its searcher was at work") !=
+        std::string::npos);
+    CHECK(
+        explain("r1", log("not_sent", "1")).find("no searcher had it") !=
+        std::string::npos);
+}
+
+// Guards against a written answer that is taken for a delivered one.
+TEST_CASE("an answer that was not delivered is explained by its connection")
+{
+    const auto log = [](const std::string& cause, const std::string& state,
+                        const std::string& bytes)
+    {
+        return R"({"time_ms":50,"instance":"a-1","name":"connection_cut",)"
+               R"("request":"r1","cause":")" +
+               cause + R"(","state":")" + state +
+               R"(","written_bytes":300,"unwritten_bytes":40,)" + bytes + "}";
+    };
+    const std::string unread = R"("unacknowledged_bytes":0,"unread_bytes":12)";
+    const std::string unacknowledged =
+        R"("unacknowledged_bytes":90,"unread_bytes":0)";
+    CHECK(
+        explain("r1", log("process_end", "handling", unread))
+            .find("cause: the process ended before an answer was written") !=
+        std::string::npos);
+    CHECK(
+        explain("r1", log("process_end", "writing", unread))
+            .find("300 bytes were, 40 were not") != std::string::npos);
+    CHECK(
+        explain("r1", log("discard_timeout", "discarding", unread))
+            .find("12 unread bytes of the caller, which resets the "
+                  "connection: the answer may be lost") != std::string::npos);
+    CHECK(
+        explain("r1", log("closed_idle", "idle", unread))
+            .find("a further request is lost unread") != std::string::npos);
+    CHECK(
+        explain("r1", log("process_end", "discarding", unacknowledged))
+            .find("90 bytes that the caller's host had not acknowledged") !=
+        std::string::npos);
+}
+
+// Guards against a killed process that is taken for one that ended by itself.
+TEST_CASE("a stop without its last lines is noted")
+{
+    const std::string signal =
+        R"({"time_ms":1,"instance":"a-1","name":"termination_signal"})"
+        "\n"
+        R"({"time_ms":2,"instance":"a-1","name":"attempt_failed",)"
+        R"("request":"r1","service":"s1","searcher":"i-1","how":"broken"})"
+        "\n";
+    const std::string end =
+        R"({"time_ms":3,"instance":"a-1","name":"stopped","cut_off":0})";
+    CHECK(
+        explain("r1", signal).find("a-1 got a termination signal and no") !=
+        std::string::npos);
+    CHECK(
+        explain("r1", signal + end).find("termination signal") ==
+        std::string::npos);
+    const std::string restart =
+        R"({"time_ms":4,"instance":"a-1","name":"started"})"
+        "\n";
+    CHECK(
+        explain("r1", signal + restart + signal + end)
+            .find("a-1 got a termination signal and no") != std::string::npos);
+    // A killed instance may have no line of the request.
+    log_explainer explainer("r2");
+    std::istringstream lines(signal);
+    explainer.read(lines);
+    CHECK(explainer.line_count() == 0);
+    CHECK(
+        explainer.stop_notes().find("a-1 got a termination signal and no") !=
+        std::string::npos);
+}
