Keep a connection until its caller has the last answer

What callers see: an answer of which they have read a part, or nothing yet, ends with a reset. They read slowly, or bytes of the answer are lost on the way, and they have sent bytes after their request.

Cause: once the system had taken an answer, the session counted as done. A planned stop ended the process; outside a stop the connection was closed after 1 s. Bytes that arrive after the close reset the connection, and the system drops what it hasn't delivered. A session that had read 64 KB ahead of its request didn't read again after a last answer, so that its close always met unread bytes. Closing idle connections didn't ask whether the answer before had arrived.

Change: a session whose answer the caller's system hasn't acknowledged (SIOCOUTQ) keeps the process until the end of the shutdown, and keeps its connection for up to 10 s after the answer instead of 1 s. It discards what the caller sends, also after it had read far ahead. Nothing waits for a caller that has acknowledged its answer.

--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -3,8 +3,11 @@
 #include <boost/asio/write.hpp>
 
 #include <cassert>
+#include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace turmericlane
@@ -16,10 +19,11 @@
 using namespace std::chrono_literals;
 
 /** Time for which bytes from the caller are read and discarded after the last
-    answer: closing a connection with unread bytes resets it, which can lose the
-    answer. */
+    answer: bytes that are unread when a connection is closed, or arrive
+    afterwards, reset it, which loses what the caller's system hasn't got. */
 constexpr auto discard_timeout = 1s;
-/** Time within which a caller has to read its answer. */
+/** Time within which a caller has to read its answer, and again the part of
+    the last answer that the gateway's system holds. */
 constexpr auto write_timeout = 10s;
 /** Bytes of further requests that are read while one is being handled. */
 constexpr std::size_t max_pipelined_bytes = 64U << 10U;
@@ -31,6 +35,13 @@
     return buffer;
 }
 
+/** Returns a count of bytes that the system keeps for a socket; 0 on error. */
+int queued_bytes(int socket, unsigned long request)
+{
+    int count = 0;
+    return ::ioctl(socket, request, &count) == 0 ? count : 0;
+}
+
 } // namespace
 
 caller_session::caller_session(
@@ -94,7 +105,7 @@
     {
     case state::idle:
         if (time_in_state >= handler_.limits().idle_timeout)
-            close();
+            close_if_idle();
         break;
     case state::reading:
         if (time_in_state >= handler_.limits().idle_timeout ||
@@ -107,7 +118,8 @@
             close();
         break;
     case state::draining:
-        if (time_in_state >= discard_timeout)
+        if (time_in_state >= write_timeout ||
+            (time_in_state >= discard_timeout && !has_unacknowledged_bytes()))
             close();
         break;
     case state::handling:
@@ -131,10 +143,31 @@
 
 void caller_session::close_if_idle()
 {
-    if (state_ == state::idle)
+    if (state_ != state::idle)
+        return;
+    if (has_unacknowledged_bytes())
+        discard();
+    else
         close();
 }
 
+bool caller_session::must_stay()
+{
+    switch (state_)
+    {
+    case state::handling:
+    case state::writing:
+        return true;
+    case state::draining:
+        return has_unacknowledged_bytes();
+    case state::idle:
+    case state::reading:
+    case state::closed:
+        break;
+    }
+    return false;
+}
+
 void caller_session::read()
 {
     socket_.async_wait(
@@ -260,8 +293,7 @@
     is_first_request_ = false;
     if (must_close)
     {
-        state_ = state::draining;
-        socket_.shutdown(tcp_socket::shutdown_send, ec);
+        discard();
         return;
     }
     state_ = unparsed_bytes_.empty() ? state::idle : state::reading;
@@ -275,6 +307,17 @@
     }
 }
 
+void caller_session::discard()
+{
+    state_ = state::draining;
+    state_start_ = clock_.now();
+    unparsed_bytes_.clear();
+    boost::system::error_code ec;
+    socket_.shutdown(tcp_socket::shutdown_send, ec);
+    if (std::exchange(is_reading_paused_, false))
+        read();
+}
+
 void caller_session::close()
 {
     state_ = state::closed;
@@ -282,4 +325,10 @@
     socket_.close(ec);
 }
 
+bool caller_session::has_unacknowledged_bytes()
+{
+    // Counts the end of the stream as one byte.
+    return queued_bytes(socket_.native_handle(), SIOCOUTQ) > 0;
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -89,7 +89,8 @@
         first request, whose connection had to be opened; zero if not known. */
     duration round_trip_time();
 
-    /** Closes the connection if it carries no request. */
+    /** Closes the connection if it carries no request, or later if the caller
+        hasn't got its answer yet. */
     void close_if_idle();
 
     /** True while a request is being handled or its answer is being written. */
@@ -98,6 +99,10 @@
         return state_ == state::handling || state_ == state::writing;
     }
 
+    /** True while the end of the process would lose an answer: the request is
+        being handled or the caller's system hasn't got the answer. */
+    bool must_stay();
+
 private:
     enum class state : std::uint8_t
     {
@@ -121,7 +126,9 @@
     void on_parse_error(boost::system::error_code ec);
     void refuse(unsigned status);
     void on_written(boost::system::error_code ec, bool must_close);
+    void discard();
     void close();
+    bool has_unacknowledged_bytes();
 
     tcp_socket socket_;
     session_handler& handler_;
--- a/modules/turmericlane_gateway/http/http_listener.cpp
+++ b/modules/turmericlane_gateway/http/http_listener.cpp
@@ -63,7 +63,7 @@
 {
     std::size_t n = 0;
     for (const auto& it : sessions_)
-        n += it->is_busy() ? 1 : 0;
+        n += it->must_stay() ? 1 : 0;
     return n;
 }
 
--- a/modules/turmericlane_gateway/http/http_listener.h
+++ b/modules/turmericlane_gateway/http/http_listener.h
@@ -33,8 +33,8 @@
     /** Closes the connections that carry no request. */
     void close_idle();
 
-    /** Returns the number of requests that are being handled or whose answers
-        are being written. */
+    /** Returns the number of connections for which the process has to stay.
+        @see caller_session::must_stay */
     std::size_t busy_count() const;
 
     /** Returns the number of open connections. */
