Answer a request that has arrived at an idle connection

What callers see: a request that is sent while an instance drains, stops, or closes connections that have been idle for too long, is reset.

Cause: the session was idle as long as the gateway hadn't read the request; it was closed although the request lay in the system's receive buffer, which resets the connection.

Change: a connection with unread bytes (SIOCINQ) isn't closed as idle, and the process doesn't end before they are read, within the shutdown's time.

--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -143,7 +143,7 @@
 
 void caller_session::close_if_idle()
 {
-    if (state_ != state::idle)
+    if (state_ != state::idle || has_unread_bytes())
         return;
     if (has_unacknowledged_bytes())
         discard();
@@ -158,10 +158,11 @@
     case state::handling:
     case state::writing:
         return true;
-    case state::draining:
-        return has_unacknowledged_bytes();
     case state::idle:
     case state::reading:
+        return has_unread_bytes();
+    case state::draining:
+        return has_unacknowledged_bytes();
     case state::closed:
         break;
     }
@@ -325,6 +326,11 @@
     socket_.close(ec);
 }
 
+bool caller_session::has_unread_bytes()
+{
+    return queued_bytes(socket_.native_handle(), SIOCINQ) > 0;
+}
+
 bool caller_session::has_unacknowledged_bytes()
 {
     // Counts the end of the stream as one byte.
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -89,8 +89,8 @@
         first request, whose connection had to be opened; zero if not known. */
     duration round_trip_time();
 
-    /** Closes the connection if it carries no request, or later if the caller
-        hasn't got its answer yet. */
+    /** Closes the connection if it carries no request. One that has received
+        bytes stays; one whose caller hasn't got its answer yet closes later. */
     void close_if_idle();
 
     /** True while a request is being handled or its answer is being written. */
@@ -99,8 +99,8 @@
         return state_ == state::handling || state_ == state::writing;
     }
 
-    /** True while the end of the process would lose an answer: the request is
-        being handled or the caller's system hasn't got the answer. */
+    /** True while the end of the process would lose something: a request that
+        has arrived or an answer that the caller's system hasn't got. */
     bool must_stay();
 
 private:
@@ -128,6 +128,7 @@
     void on_written(boost::system::error_code ec, bool must_close);
     void discard();
     void close();
+    bool has_unread_bytes();
     bool has_unacknowledged_bytes();
 
     tcp_socket socket_;
