Take the connections that wait when a listener stops

What callers see: a new connection that a stopping instance's system has already opened, mostly with its request, is reset.

Cause: closing the listening socket resets the connections in its queue, and a connection that was accepted in the same turn of the loop was dropped.

--- a/modules/turmericlane_gateway/http/http_listener.cpp
+++ b/modules/turmericlane_gateway/http/http_listener.cpp
@@ -45,6 +45,17 @@
 void http_listener::stop()
 {
     boost::system::error_code ec;
+    // Closing the socket resets the connections that wait; some may carry a
+    // request.
+    if (acceptor_.is_open())
+        acceptor_.non_blocking(true, ec);
+    for (int i = 0; i < backlog && acceptor_.is_open() && !ec; ++i)
+    {
+        tcp_socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, ec);
+        if (!ec)
+            start_session(std::move(socket));
+    }
     acceptor_.close(ec);
 }
 
@@ -72,6 +83,8 @@
     acceptor_.async_accept(
         [this](boost::system::error_code ec, tcp_socket socket)
         {
+            if (!ec)
+                start_session(std::move(socket));
             if (!acceptor_.is_open())
                 return;
             if (ec)
@@ -85,12 +98,16 @@
                     });
                 return;
             }
-            auto session = std::make_shared<caller_session>(
-                std::move(socket), handler_, clock_);
-            sessions_.push_back(session);
-            session->start();
             accept();
         });
 }
 
+void http_listener::start_session(tcp_socket socket)
+{
+    auto session =
+        std::make_shared<caller_session>(std::move(socket), handler_, clock_);
+    sessions_.push_back(session);
+    session->start();
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/http/http_listener.h
+++ b/modules/turmericlane_gateway/http/http_listener.h
@@ -23,7 +23,8 @@
     std::optional<std::string>
     listen(const std::string& address, std::uint16_t port);
 
-    /** Stops accepting connections; the open ones stay. */
+    /** Takes the connections that wait to be accepted, and stops accepting
+        more; the open ones stay. */
     void stop();
 
     /** Applies the timeouts of the sessions and removes those that have ended.
@@ -45,6 +46,7 @@
 
 private:
     void accept();
+    void start_session(tcp_socket socket);
 
     session_handler& handler_;
     const clock& clock_;
