--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include <cassert>
+#include <utility>
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -18,10 +19,11 @@
 using namespace std::chrono_literals;
 
 /** Time for which bytes from the caller are read and discarded after the last
-    answer: closing a connection with unread bytes resets it, which can lose the
-    answer. */
+    answer: bytes that are unread when a connection is closed, or arrive
+    afterwards, reset it, which loses what the caller's system hasn't got. */
 constexpr auto discard_timeout = 1s;
-/** Time within which a caller has to read its answer. */
+/** Time within which a caller has to read its answer, and again the part of
+    the last answer that the gateway's system holds. */
 constexpr auto write_timeout = 10s;
 /** Bytes of further requests that are read while one is being handled. */
 constexpr std::size_t max_pipelined_bytes = 64U << 10U;
@@ -123,7 +125,7 @@
     {
     case state::idle:
         if (time_in_state >= handler_.limits().idle_timeout)
-            close(caller_connection_end::idle_timeout);
+            close_if_idle(caller_connection_end::idle_timeout);
         break;
     case state::reading:
         if (time_in_state >= handler_.limits().idle_timeout ||
@@ -136,7 +138,8 @@
             close(caller_connection_end::write_timeout);
         break;
     case state::draining:
-        if (time_in_state >= discard_timeout)
+        if (time_in_state >= write_timeout ||
+            (time_in_state >= discard_timeout && unacknowledged_bytes() == 0))
             close(caller_connection_end::discard_timeout);
         break;
     case state::handling:
@@ -158,10 +161,14 @@
     return std::chrono::microseconds(info.tcpi_rtt) * round_trips;
 }
 
-void caller_session::close_if_idle()
+void caller_session::close_if_idle(caller_connection_end cause)
 {
-    if (state_ == state::idle)
-        close(caller_connection_end::closed_idle);
+    if (state_ != state::idle || unread_bytes() > 0)
+        return;
+    if (unacknowledged_bytes() > 0)
+        discard();
+    else
+        close(cause);
 }
 
 void caller_session::add_to(session_counts& counts)
@@ -196,6 +203,24 @@
         report_end(caller_connection_end::process_end);
 }
 
+bool caller_session::must_stay()
+{
+    switch (state_)
+    {
+    case state::handling:
+    case state::writing:
+        return true;
+    case state::idle:
+    case state::reading:
+        return unread_bytes() > 0;
+    case state::draining:
+        return unacknowledged_bytes() > 0;
+    case state::closed:
+        break;
+    }
+    return false;
+}
+
 void caller_session::read()
 {
     socket_.async_wait(
@@ -322,8 +347,7 @@
     is_first_request_ = false;
     if (must_close)
     {
-        state_ = state::draining;
-        socket_.shutdown(tcp_socket::shutdown_send, ec);
+        discard();
         return;
     }
     state_ = unparsed_bytes_.empty() ? state::idle : state::reading;
@@ -337,6 +361,17 @@
     }
 }
 
+void caller_session::discard()
+{
+    state_ = state::draining;
+    state_start_ = clock_.now();
+    unparsed_bytes_.clear();
+    boost::system::error_code ec;
+    socket_.shutdown(tcp_socket::shutdown_send, ec);
+    if (std::exchange(is_reading_paused_, false))
+        read();
+}
+
 void caller_session::close(caller_connection_end cause)
 {
     report_end(cause);
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -100,8 +100,10 @@
         first request, whose connection had to be opened; zero if not known. */
     duration round_trip_time();
 
-    /** Closes the connection if it carries no request. */
-    void close_if_idle();
+    /** Closes the connection if it carries no request. One that has received
+        bytes stays; one whose caller hasn't got its answer yet closes later.
+        @param cause  for the report */
+    void close_if_idle(caller_connection_end cause);
 
     /** Adds this session to the counts unless it has ended. */
     void add_to(session_counts& counts);
@@ -116,6 +118,10 @@
         return state_ == state::handling || state_ == state::writing;
     }
 
+    /** True while the end of the process would lose something: a request that
+        has arrived or an answer that the caller's system hasn't got. */
+    bool must_stay();
+
 private:
     enum class state : std::uint8_t
     {
@@ -139,6 +145,8 @@
     void on_parse_error(boost::system::error_code ec);
     void refuse(unsigned status);
     void on_written(boost::system::error_code ec, bool must_close);
+    /** Sends the end of the stream and discards what the caller still sends. */
+    void discard();
     void close(caller_connection_end cause);
     /** Returns the bytes in the system's buffers for this connection that the
         other side has not acknowledged. */
--- a/modules/turmericlane_gateway/http/http_listener.h
+++ b/modules/turmericlane_gateway/http/http_listener.h
@@ -23,7 +23,8 @@
     std::optional<std::string>
     listen(const std::string& address, std::uint16_t port);
 
-    /** Stops accepting connections; the open ones stay. */
+    /** Takes the connections that wait to be accepted, and stops accepting
+        more; the open ones stay. */
     void stop();
 
     /** Applies the timeouts of the sessions and removes those that have ended.
@@ -33,8 +34,8 @@
     /** Closes the connections that carry no request. */
     void close_idle();
 
-    /** Returns the number of requests that are being handled or whose answers
-        are being written. */
+    /** Returns the number of connections for which the process has to stay.
+        @see caller_session::must_stay */
     std::size_t busy_count() const;
 
     /** Returns the open connections by state. */
@@ -52,6 +53,7 @@
 
 private:
     void accept();
+    void start_session(tcp_socket socket);
 
     session_handler& handler_;
     const clock& clock_;
