Count a planned stop from when its signal may have been sent

What callers see: requests that are read and passed on end without an answer 6 s after SIGTERM, at the platform's SIGKILL, if the instance did not run for 0.7 s or more when the signal came.

Cause: the shutdown counted its time from the handling of the signal, the platform counts its grace from the sending. A process that handles the signal late used up the margin of 0.7 s.

The signal can't have been sent before it, or it would have been handled.

A pause that begins later in the stop can still reach the SIGKILL.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -61,6 +61,7 @@
     , shutdown_(make_shutdown_limits(settings_), time, *this)
     , timer_(loop, [this] { on_wakeup(); })
     , sweep_timer_(loop.get_executor())
+    , pauses_(sweep_period, time.now())
     , instance_count_(time.now())
     , start_time_(time.now())
 {
@@ -113,13 +114,14 @@
 
 void gateway::terminate()
 {
+    // The platform counts its grace from the sending of the signal.
     if (!signal_time_)
-        signal_time_ = clock_.now();
+        signal_time_ = pauses_.earliest_signal_time(clock_.now());
     shutdown_recorder_.on_signal(make_snapshot());
     // A platform may repeat the signal; that is no reason to cut requests off.
     if (shutdown_.phase() != shutdown_phase::serving)
         return;
-    shutdown_.on_termination_signal();
+    shutdown_.on_termination_signal(*signal_time_);
     engine_.prepare_stop(shutdown_.stop_time());
     schedule_wakeup();
 }
@@ -792,6 +794,7 @@
         next_sweep_ == time_point{} ? duration::zero() : now - next_sweep_;
     lag_ += (std::max(delay, duration::zero()) - lag_) / lag_smoothing_divisor;
     engine_.on_lag(lag_);
+    pauses_.on_run(now);
     listener_.sweep();
     for (auto& it : apis_)
         it.sweep();
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "../log/json_log.h"
 #include "../log/request_recorder.h"
 #include "../log/shutdown_recorder.h"
+#include "../loop/pause_monitor.h"
 #include "../peers/departure_log.h"
 #include "../peers/feed_cache.h"
 #include "../peers/feed_puller.h"
@@ -242,13 +243,14 @@
     feed_puller puller_;
     feed_cache feed_cache_;
     shutdown_sequence shutdown_;
-    /** When the first termination signal was received. */
+    /** When the first termination signal was sent, as far as is known. */
     std::optional<time_point> signal_time_;
     /** When the loop ends at the latest, set at the end of the shutdown. */
     time_point loop_end_ = time_point::max();
     wakeup_timer timer_;
     loop_timer sweep_timer_;
     time_point next_sweep_{};
+    pause_monitor pauses_;
     std::shared_ptr<route_table> routes_;
     caller_limits default_limits_;
     std::unordered_map<request_handle, pending_request> pending_requests_;
--- a/modules/turmericlane_state/shutdown/shutdown_sequence.cpp
+++ b/modules/turmericlane_state/shutdown/shutdown_sequence.cpp
@@ -34,13 +34,17 @@
 }
 
 void shutdown_sequence::on_termination_signal()
+{
+    on_termination_signal(clock_.now());
+}
+
+void shutdown_sequence::on_termination_signal(time_point signal_time)
 {
     if (phase_ != shutdown_phase::serving)
         return stop();
-    auto now = clock_.now();
     phase_ = shutdown_phase::leaving;
-    drain_time_ = now + limits_.leaving_time;
-    stop_time_ = now + limits_.total_time;
+    drain_time_ = signal_time + limits_.leaving_time;
+    stop_time_ = signal_time + limits_.total_time;
     actions_.leave();
 }
 
--- a/modules/turmericlane_state/shutdown/shutdown_sequence.h
+++ b/modules/turmericlane_state/shutdown/shutdown_sequence.h
@@ -78,6 +78,11 @@
         once. */
     void on_termination_signal();
 
+    /** The same for a signal that waited until the process ran again.
+        @param signal_time  when it may have been sent; the periods count from
+                            then */
+    void on_termination_signal(time_point signal_time);
+
     /** Sets how many requests are in flight, with this instance as entry or as
         owner. While draining, a count of zero ends the shutdown; only counts
         that are passed after shutdown_actions::drain do so. */
--- a/modules/turmericlane_state/tests/version_tests.cpp
+++ b/modules/turmericlane_state/tests/version_tests.cpp
@@ -257,6 +257,22 @@
     CHECK(sequence.next_wakeup() == time_point::max());
 }
 
+TEST_CASE("a shutdown whose signal waited ends at its time")
+{
+    manual_clock time;
+    shutdown_recorder actions;
+    shutdown_sequence sequence({seconds(4), seconds(5)}, time, actions);
+    const auto signal_time = time.now();
+    time.advance(seconds(2));
+    sequence.on_termination_signal(signal_time);
+    sequence.on_in_flight_count(3);
+    CHECK(sequence.next_wakeup() == signal_time + seconds(4));
+    CHECK(sequence.stop_time() == signal_time + seconds(5));
+    time.advance(seconds(4));
+    sequence.on_timer();
+    CHECK(actions.calls == "leave drain stop 3");
+}
+
 TEST_CASE("a shutdown ends at its limit or at the second signal, and reports "
           "the number of unfinished requests")
 {
