Log: the final lines are those of the requests that were listed as open

Beyond 200 open requests the final lines without a rate limit went to any 200 of them, not to the listed ones. A request keeps now whether it was listed. A test with 215 requests shows that each listed one has its final line and that the others are counted.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -407,6 +407,7 @@
     summary.latency = clock_.now() - request.arrival;
     summary.configuration_version = routes_->configuration().version;
     summary.loop_lag = lag_;
+    summary.is_listed = request.is_listed;
     return summary;
 }
 
@@ -739,7 +740,7 @@
         pending > max_listed ? pending - max_listed : 0);
     record_open_requests();
     log_.flush();
-    recorder_.expect_last_requests(max_listed);
+    recorder_.expect_last_connections(max_listed);
     listener_.stop();
     listener_.close_idle();
     engine_.stop();
@@ -779,6 +780,7 @@
         const auto position = pending_requests_.find(it.id);
         if (position == pending_requests_.end())
             continue;
+        position->second.is_listed = true;
         shutdown_recorder_.on_open_request(
             it, position->second.outgoing.id, position->second.route_name,
             since_signal);
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -115,6 +115,8 @@
         time_point arrival;
         duration target_latency{};
         std::string route_name;
+        /** True if it was listed at the end of the shutdown. */
+        bool is_listed = false;
     };
 
     // Store.
--- a/modules/turmericlane_gateway/log/request_recorder.cpp
+++ b/modules/turmericlane_gateway/log/request_recorder.cpp
@@ -68,12 +68,12 @@
     const auto sampling_interval = result.extra_attempts > 0
                                        ? extra_attempt_sampling_interval
                                        : usual_sampling_interval;
-    if (is_usual && last_results_ == 0 &&
+    if (is_usual && !request.is_listed &&
         ++sampling_counter_ % sampling_interval != 0)
         return;
     const auto missing_parts = describe_missing_parts(result);
-    write_last(
-        last_results_, to_event(result),
+    write(
+        to_event(result), !request.is_listed,
         {{"request", request.request_id},
          {"route", request.route_name},
          {"why", to_string(result.failure)},
@@ -124,8 +124,10 @@
     const auto bytes = [](std::size_t value)
     { return static_cast<std::int64_t>(value); };
     metrics_.on_connection_cut(report.cause);
-    write_last(
-        last_connections_, gateway_event::connection_cut,
+    const auto is_last = last_connections_ > 0;
+    last_connections_ -= is_last ? 1 : 0;
+    write(
+        gateway_event::connection_cut, !is_last,
         {{"request", request_id},
          {"cause", to_string(report.cause)},
          {"state", report.state},
@@ -135,24 +137,20 @@
          {"unread_bytes", bytes(report.unread_bytes)}});
 }
 
-void request_recorder::expect_last_requests(std::size_t count)
+void request_recorder::expect_last_connections(std::size_t count)
 {
-    last_results_ = count;
     last_connections_ = count;
 }
 
-void request_recorder::write_last(
-    std::size_t& lines_left,
+void request_recorder::write(
     gateway_event event,
+    bool is_rate_limited,
     std::initializer_list<log_field> fields)
 {
-    if (lines_left == 0)
-    {
+    if (is_rate_limited)
         log_.write_detail(event, fields);
-        return;
-    }
-    --lines_left;
-    log_.write_state(event, fields);
+    else
+        log_.write_state(event, fields);
 }
 
 void request_recorder::on_malformed(unsigned status)
--- a/modules/turmericlane_gateway/log/request_recorder.h
+++ b/modules/turmericlane_gateway/log/request_recorder.h
@@ -20,6 +20,9 @@
     std::uint64_t configuration_version = 0;
     /** Smoothed delay with which the event loop runs its timers. */
     duration loop_lag{};
+    /** True if it was open at the end of a shutdown and listed then: its line
+        is written without sampling and rate limit. */
+    bool is_listed = false;
 };
 
 /** Reason for answering a request without forwarding it. */
@@ -74,11 +77,10 @@
     void on_connection_cut(
         std::string_view request_id, const connection_report& report);
 
-    /** The instance is about to end its open requests: lines about the next
-        ones are written without sampling and rate limit.
-        @param count  number of requests, and of connections, for which this
-                      holds */
-    void expect_last_requests(std::size_t count);
+    /** The process is about to end: the rate limit does not apply to the lines
+        about the next connections.
+        @param count  number of connections for which this holds */
+    void expect_last_connections(std::size_t count);
 
     /** Bytes that are not a valid request were received.
         @param status  HTTP status of the answer */
@@ -112,18 +114,15 @@
         attempt_outcome failure);
 
 private:
-    /** Writes a line that is subject to the rate limit unless some of the last
-        lines are left. */
-    void write_last(
-        std::size_t& lines_left,
+    void write(
         gateway_event event,
+        bool is_rate_limited,
         std::initializer_list<log_field> fields);
 
     json_log& log_;
     gateway_metrics& metrics_;
     std::uint64_t sampling_counter_ = 0;
-    /** Lines left to which the rate limit does not apply. */
-    std::size_t last_results_ = 0;
+    /** Connections left to which the rate limit does not apply. */
     std::size_t last_connections_ = 0;
 };
 
--- a/modules/turmericlane_gateway/tests/stop_log_tests.cpp
+++ b/modules/turmericlane_gateway/tests/stop_log_tests.cpp
@@ -48,15 +48,28 @@
     {
         // No request reaches its deadline, however slow the machine is.
         route_timeout = 60s;
+        target_latency = 60s;
         single_route_semantics = execution_semantics::at_most_once;
     }
-};
 
-std::string post_text(const std::string& id)
-{
-    return "POST /one/x HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id +
-           "\r\nContent-Length: 0\r\n\r\n";
-}
+    /** Sends requests with the ids id0, id1, … and waits until the gateway has
+        read them. */
+    std::vector<std::unique_ptr<standin_caller>>
+    send_requests(std::size_t count)
+    {
+        std::vector<std::unique_ptr<standin_caller>> callers;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            callers.push_back(std::make_unique<standin_caller>(loop, port));
+            callers.back()->send(
+                "POST /one/x HTTP/1.1\r\nHost: a.example\r\nX-Id: id" +
+                std::to_string(i) + "\r\nContent-Length: 0\r\n\r\n");
+        }
+        // A connection that was opened later is accepted later.
+        REQUIRE(get("/no_route"));
+        return callers;
+    }
+};
 
 } // namespace
 
@@ -71,12 +84,7 @@
     start(0, 1.0);
     // More than the searcher gets at a time; the rest waits in the gateway.
     constexpr std::size_t caller_count = 20;
-    std::vector<std::unique_ptr<standin_caller>> callers;
-    for (std::size_t i = 0; i < caller_count; ++i)
-    {
-        callers.push_back(std::make_unique<standin_caller>(loop, port));
-        callers.back()->send(post_text("id" + std::to_string(i)));
-    }
+    const auto callers = send_requests(caller_count);
     REQUIRE(run_until(loop, [&] { return !silent_searcher.requests.empty(); }));
     instance.terminate();
     REQUIRE(run_until(
@@ -114,6 +122,39 @@
             .size() == 1);
 }
 
+// Guards against a log that the open requests of a stop fill, and against a
+// bound that hides how many there were.
+TEST_CASE_FIXTURE(
+    stop_log_fixture, "the lines about open requests are bounded and counted")
+{
+    add_searcher(
+        "one", "a",
+        [](const std::shared_ptr<caller_session>&, const caller_request&) {});
+    start(0, 1.0);
+    constexpr auto listed = shutdown_recorder::max_listed_requests;
+    const auto callers = send_requests(listed + 15);
+    instance.terminate();
+    REQUIRE(run_until(
+        loop,
+        [&]
+        {
+            exhaust_rate(log);
+            return loop.stopped();
+        }));
+    const auto text = log_text();
+    CHECK(find_lines(text, {name_text("request_open")}).size() == listed);
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        const auto id = "\"request\":\"id" + std::to_string(i) + "\"";
+        const auto n = find_lines(text, {name_text("request_open"), id}).size();
+        CHECK(find_lines(text, {"\"why\":\"stopping\"", id}).size() >= n);
+    }
+    CHECK(
+        find_lines(
+            text, {name_text("stopped"), "\"cut_off\":215", "\"unlisted\":15"})
+            .size() == 1);
+}
+
 // Guards against signals that leave no trace: a repeated one, or one that comes
 // while the loop is late.
 TEST_CASE_FIXTURE(
