--- a/modules/turmericlane_net/tests/http_tests.cpp
+++ b/modules/turmericlane_net/tests/http_tests.cpp
@@ -218,3 +218,44 @@
     client.get("/");
     CHECK(client.read_response().starts_with("500"));
 }
+
+// Guards against answers that are lost because the connection is closed with
+// unread bytes, which resets it.
+TEST_CASE("a stop doesn't lose an answer on its way to a caller that sends")
+{
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+    constexpr std::size_t body_bytes = 200000;
+    std::latch handler_started(1);
+    std::latch handler_release(1);
+    http_frontend frontend(make_settings());
+    frontend.add_get_handler(
+        "/",
+        [&](const http_request&)
+        {
+            handler_started.count_down();
+            handler_release.wait();
+            return http_response{200, std::string(body_bytes, 'x')};
+        });
+    auto port = frontend.start();
+    REQUIRE(port);
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.open(tcp::v4());
+    // The answer doesn't fit into the caller's buffer.
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    socket.connect({asio::ip::make_address("127.0.0.1"), *port});
+    const std::string text = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(socket, asio::buffer(text));
+    handler_started.wait();
+    // More than the server reads at once.
+    asio::write(socket, asio::buffer(std::string(50000, 'x')));
+    auto stop_result = std::async(std::launch::async, [&] { frontend.stop(); });
+    handler_release.count_down();
+    stop_result.wait();
+    std::string answer;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    CHECK(ec == asio::error::eof);
+    CHECK(answer.size() > body_bytes);
+}
