--- a/modules/turmericlane_gateway/tests/pause_monitor_tests.cpp
+++ b/modules/turmericlane_gateway/tests/pause_monitor_tests.cpp
@@ -49,3 +49,19 @@
     monitor.on_run(time.now());
     CHECK(monitor.earliest_signal_time(time.now()) == time.now());
 }
+
+// Guards against a long pause that is forgotten because a short one follows it
+// before the signal is handled.
+TEST_CASE("pauses that follow each other count from the start of the first")
+{
+    manual_clock time;
+    pause_monitor monitor(period, time.now());
+    time.advance(period);
+    monitor.on_run(time.now());
+    const auto pause_start = time.now();
+    time.advance(1400ms);
+    monitor.on_run(time.now());
+    time.advance(2 * period);
+    monitor.on_run(time.now());
+    CHECK(monitor.earliest_signal_time(time.now()) == pause_start);
+}
