Count a planned stop from the longest of several pauses

What callers see: requests cut off by SIGKILL if an instance that did not run for more than the margin when its signal came is late once more before the signal is handled.

Cause: the later, shorter pause replaced the one in which the signal may have been sent.

Evidence: the test "pauses that follow each other count from the start of the first" fails before. By real processes it was not shown.

Change: within two periods of the timer the longest pause counts. Many short ones do not add up (a test of its own): a process that gets the processor only now and then keeps its time for the stop. The check that a pause long before does not count now waits for three periods instead of one, as two are the time in which a pause counts.

--- a/modules/turmericlane_gateway/loop/pause_monitor.h
+++ b/modules/turmericlane_gateway/loop/pause_monitor.h
@@ -7,7 +7,8 @@
 
 /** Notices that the process has not run for a while, from calls that a timer
     makes in each of its periods. A signal that is handled right after a pause
-    may have been sent at any time during it.
+    may have been sent at any time during it; the longest of several pauses in a
+    row counts.
 
     @see gateway::terminate
 */
@@ -26,7 +27,9 @@
     /** To be called in each period. */
     void on_run(time_point now)
     {
-        if (is_pause(now))
+        const auto is_longest =
+            !is_just_over(now) || now - last_run_ >= pause_end_ - pause_start_;
+        if (is_pause(now) && is_longest)
         {
             pause_start_ = last_run_;
             pause_end_ = now;
@@ -38,21 +41,26 @@
         been sent. */
     time_point earliest_signal_time(time_point now) const
     {
-        if (is_pause(now))
-            return last_run_;
         // The timer may have been handled first after the pause.
-        const auto is_just_over =
-            pause_end_ != time_point::min() && now - pause_end_ < period_;
-        return is_just_over ? pause_start_ : now;
+        if (is_just_over(now))
+            return pause_start_;
+        return is_pause(now) ? last_run_ : now;
     }
 
 private:
+    static constexpr int min_missed_periods = 2;
+
     bool is_pause(time_point now) const
     {
-        constexpr int min_missed_periods = 2;
         return now - last_run_ >= period_ * min_missed_periods;
     }
 
+    bool is_just_over(time_point now) const
+    {
+        return pause_end_ != time_point::min() &&
+               now - pause_end_ <= period_ * min_missed_periods;
+    }
+
     duration period_;
     time_point last_run_;
     time_point pause_start_;
--- a/modules/turmericlane_gateway/tests/pause_monitor_tests.cpp
+++ b/modules/turmericlane_gateway/tests/pause_monitor_tests.cpp
@@ -45,11 +45,28 @@
     CHECK(monitor.earliest_signal_time(time.now()) == time.now());
     time.advance(1400ms);
     monitor.on_run(time.now());
-    time.advance(period);
-    monitor.on_run(time.now());
+    for (int i = 0; i < 3; ++i)
+    {
+        time.advance(period);
+        monitor.on_run(time.now());
+    }
     CHECK(monitor.earliest_signal_time(time.now()) == time.now());
 }
 
+// Guards against a stop that ends at once because the process gets the
+// processor only now and then.
+TEST_CASE("many short pauses do not add up")
+{
+    manual_clock time;
+    pause_monitor monitor(period, time.now());
+    for (int i = 0; i < 20; ++i)
+    {
+        time.advance(120ms);
+        monitor.on_run(time.now());
+    }
+    CHECK(monitor.earliest_signal_time(time.now()) == time.now() - 120ms);
+}
+
 // Guards against a long pause that is forgotten because a short one follows it
 // before the signal is handled.
 TEST_CASE("pauses that follow each other count from the start of the first")
