HTTP frontend: keep a connection until its caller has the last answer

What callers of turmericlaned see: an answer that they read slowly ends with a reset, if they have sent bytes after their request and the connection is closed after the answer, as at a stop.

The connection was closed with unread bytes, which resets it; what the caller's system had not got was lost.

Change: the server ends the stream and discards what still comes until the caller's system has acknowledged all, for 1 s at most.

--- a/modules/turmericlane_net/http/frontend_server.cpp
+++ b/modules/turmericlane_net/http/frontend_server.cpp
@@ -2,13 +2,58 @@
 
 #include "frontend_stream.h"
 
+#include <array>
+#include <cerrno>
+
+#include <linux/sockios.h>
+#include <poll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace turmericlane
 {
 
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/** Time for which bytes from the caller are discarded after the last answer. */
+constexpr auto discard_timeout = 1s;
+constexpr auto discard_poll_timeout = 20ms;
+
+/** True if the caller's system has not acknowledged all bytes. */
+bool has_unacknowledged_bytes(int socket)
+{
+    int count = 0;
+    return ::ioctl(socket, SIOCOUTQ, &count) == 0 && count > 0;
+}
+
+/** Ends the stream and discards what the caller still sends until it has the
+    answer. Closing a connection with unread bytes resets it, which loses what
+    the caller's system has not got. */
+void discard_input(int socket)
+{
+    ::shutdown(socket, SHUT_WR);
+    std::array<char, 4096> buf{};
+    const auto end_time = std::chrono::steady_clock::now() + discard_timeout;
+    while (std::chrono::steady_clock::now() < end_time)
+    {
+        const auto n = ::recv(socket, buf.data(), buf.size(), MSG_DONTWAIT);
+        if (n > 0)
+            continue;
+        const auto would_block = errno == EAGAIN || errno == EINTR;
+        if (n == 0 || !would_block || !has_unacknowledged_bytes(socket))
+            return;
+        pollfd readable{socket, POLLIN, 0};
+        ::poll(&readable, 1, static_cast<int>(discard_poll_timeout.count()));
+    }
+}
+
+} // namespace
+
 frontend_server::frontend_server(
     int listen_backlog, std::chrono::milliseconds idle_timeout)
     : listen_backlog_(listen_backlog)
@@ -56,7 +101,7 @@
 bool frontend_server::process_and_close_socket(socket_t socket)
 {
     serve_connection(socket);
-    ::shutdown(socket, SHUT_RDWR);
+    discard_input(socket);
     ::close(socket);
     return true;
 }
