--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -733,12 +733,12 @@
     shutdown_.on_in_flight_count(listener_.busy_count());
 }
 
-void gateway::stop(std::size_t cut_off)
+void gateway::stop(std::size_t)
 {
     constexpr auto max_listed = shutdown_recorder::max_listed_requests;
     const auto pending = pending_requests_.size();
     shutdown_recorder_.on_stop(
-        make_snapshot(), cut_off,
+        make_snapshot(), pending,
         pending > max_listed ? pending - max_listed : 0);
     record_open_requests();
     log_.flush();
