Tests of unread requests at a stop and of input read far ahead

A review showed by mutations that nothing covered them: a stop that does not wait for unread requests, and a session that does not read on after its last answer.

--- a/modules/turmericlane_gateway/tests/connection_end_tests.cpp
+++ b/modules/turmericlane_gateway/tests/connection_end_tests.cpp
@@ -280,6 +280,32 @@
     CHECK(caller.has_answer(1));
 }
 
+TEST_CASE("a stop doesn't end before a request that has arrived is read")
+{
+    listener_fixture process;
+    plain_caller caller(process.port);
+    REQUIRE(run_until(
+        process.loop,
+        [&] { return process.listener->connection_count() == 1; }));
+    CHECK(process.listener->busy_count() == 0);
+    caller.send(bare_request);
+    CHECK(process.listener->busy_count() == 1);
+}
+
+TEST_CASE("what a caller has sent far ahead is read after its last answer")
+{
+    listener_fixture process;
+    plain_caller caller(process.port);
+    caller.send(bare_request);
+    caller.send(std::string(pipelined_bytes, 'x'));
+    REQUIRE(run_until(process.loop, [&] { return !process.sessions.empty(); }));
+    process.poll();
+    process.sessions[0]->respond(200, {}, "x", true);
+    process.poll();
+    CHECK(process.listener->count_sessions().discarding == 1);
+    CHECK(process.listener->count_sessions().unread_bytes == 0);
+}
+
 TEST_CASE("closing idle connections doesn't lose the answer before")
 {
     auto process = std::make_unique<listener_fixture>();
