--- a/modules/turmericlane_forwarding/tests/stop_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/stop_tests.cpp
@@ -206,8 +206,10 @@
     };
     const auto tested_route =
         simulation.make_single_route("one", execution_semantics::at_most_once);
+    constexpr int request_count = 12;
     std::vector<request_handle> ids;
-    for (int i = 0; i < 12; ++i)
+    ids.reserve(request_count);
+    for (int i = 0; i < request_count; ++i)
         ids.push_back(simulation.start_request(tested_route));
     REQUIRE(simulation.engine.in_flight() == ids.size());
     const auto listed = simulation.engine.open_requests(10);
