--- a/modules/turmericlane_gateway/tests/connection_end_tests.cpp
+++ b/modules/turmericlane_gateway/tests/connection_end_tests.cpp
@@ -93,6 +93,14 @@
         start(0, 1.0);
     }
 
+    /** Sends a request and, once the searcher holds it, begins to stop. */
+    void stop_beside_request(plain_caller& caller)
+    {
+        caller.send(bare_request);
+        REQUIRE(run_until(loop, [&] { return held_session != nullptr; }));
+        instance.terminate();
+    }
+
     void answer_held_request(std::size_t body_bytes)
     {
         std::string fields;
@@ -119,10 +127,7 @@
 {
     auto process = std::make_unique<holding_gateway_fixture>(2400ms);
     plain_caller caller(process->port);
-    caller.send(bare_request);
-    REQUIRE(run_until(
-        process->loop, [&] { return process->held_session != nullptr; }));
-    process->instance.terminate();
+    process->stop_beside_request(caller);
     process->answer_held_request(large_body_bytes);
     // The caller begins to read late in the stop.
     REQUIRE(process->run_until_logged("draining"));
@@ -143,10 +148,7 @@
 {
     auto process = std::make_unique<holding_gateway_fixture>(short_shutdown);
     plain_caller caller(process->port);
-    caller.send(bare_request);
-    REQUIRE(run_until(
-        process->loop, [&] { return process->held_session != nullptr; }));
-    process->instance.terminate();
+    process->stop_beside_request(caller);
     process->answer_held_request(large_body_bytes);
     REQUIRE(run_until(process->loop, [&] { return process->loop.stopped(); }));
     process.reset();
@@ -159,10 +161,7 @@
 {
     holding_gateway_fixture process(short_shutdown);
     plain_caller caller(process.port);
-    caller.send(bare_request);
-    REQUIRE(run_until(
-        process.loop, [&] { return process.held_session != nullptr; }));
-    process.instance.terminate();
+    process.stop_beside_request(caller);
     // Smaller than the caller's receive buffer.
     process.answer_held_request(100);
     REQUIRE(run_until(process.loop, [&] { return process.loop.stopped(); }));
@@ -173,10 +172,7 @@
 {
     holding_gateway_fixture process(short_shutdown);
     plain_caller caller(process.port);
-    caller.send(bare_request);
-    REQUIRE(run_until(
-        process.loop, [&] { return process.held_session != nullptr; }));
-    process.instance.terminate();
+    process.stop_beside_request(caller);
     process.answer_held_request(large_body_bytes);
     CHECK(run_until(process.loop, [&] { return process.loop.stopped(); }));
 }
@@ -186,10 +182,7 @@
     constexpr std::size_t long_body_bytes = 12U << 20U;
     auto process = std::make_unique<holding_gateway_fixture>(short_shutdown);
     plain_caller caller(process->port);
-    caller.send(bare_request);
-    REQUIRE(run_until(
-        process->loop, [&] { return process->held_session != nullptr; }));
-    process->instance.terminate();
+    process->stop_beside_request(caller);
     process->answer_held_request(long_body_bytes);
     REQUIRE(process->run_until_logged("draining"));
     while (!process->loop.stopped())
@@ -206,10 +199,7 @@
 {
     auto process = std::make_unique<holding_gateway_fixture>(short_shutdown);
     plain_caller caller(process->port);
-    caller.send(bare_request);
-    REQUIRE(run_until(
-        process->loop, [&] { return process->held_session != nullptr; }));
-    process->instance.terminate();
+    process->stop_beside_request(caller);
     REQUIRE(process->run_until_logged("cut_off"));
     caller.send(bare_request);
     REQUIRE(run_until(process->loop, [&] { return process->loop.stopped(); }));
