Fuzzer of answers: call the parser only when bytes have arrived

Cause: the fuzzer itself. It divides each input into two pieces; where the second was empty, it called the parser again with the same bytes. The parser expects more bytes after need_more. client_connection calls it only after bytes were read, so that the assertion can't be reached there (by reading).

--- a/tests/fuzz/answers_fuzzer.cpp
+++ b/tests/fuzz/answers_fuzzer.cpp
@@ -30,6 +30,9 @@
     for (const auto piece :
          {text.substr(0, first_size), text.substr(first_size)})
     {
+        // As on a connection, the parser is called when bytes have arrived.
+        if (piece.empty())
+            continue;
         unparsed += piece;
         boost::system::error_code ec;
         while (!unparsed.empty() && !parser.is_done())
