Refuse answers whose status is not one of HTTP

What callers saw: a searcher's answer with a status below 100 or above 599 (000, 001, 042, 099, 600, 777, 999) reached them as an answer, with the searcher's fields and body; the status line that left the gateway, such as "HTTP/1.1 0 <unknown-status>", was not HTTP. An order whose answer had status 000 and the field that says that it has not run was sent again and answered 503, after it had run twice.

Cause: the HTTP parser takes any three digits for a status, and nobody checked the number before the answer, its signature, its load and its statements were used. Below 200, only 100 to 199 count as interim, so that 000 is a final answer.

Change: parse_response_head, in the new module http, says what is the head of a response. client_connection, through which all HTTP answers to the gateway pass (searchers, peers' feeds, the store), asks it before the parser gets the head. What fails is a broken connection after the request was sent: it may have run, the connection is closed, an idempotent request may go elsewhere, and nothing of the answer is read.

Evidence: seven statuses in seven forms, GET and POST each, against a stand-in searcher; the caller reads with a plain socket and checks the answer by itself, because the gateway's own client refuses such an answer now.

--- a/modules/turmericlane_gateway/http/client_connection.cpp
+++ b/modules/turmericlane_gateway/http/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "client_connection.h"
 
+#include <turmericlane_http/turmericlane_http.h>
+
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
@@ -250,6 +252,11 @@
 {
     while (is_awaiting_response_ && !unparsed_bytes_.empty())
     {
+        if (is_head_refused())
+        {
+            end(connection_end::malformed);
+            return;
+        }
         boost::system::error_code ec;
         const auto n = parser_->put(boost::asio::buffer(unparsed_bytes_), ec);
         unparsed_bytes_.erase(0, n);
@@ -293,6 +300,18 @@
         end(connection_end::malformed);
 }
 
+/** True if the bytes begin with a whole head that is not a response's. */
+bool client_connection::is_head_refused() const
+{
+    // The parser takes in a head only as a whole.
+    if (parser_->is_header_done())
+        return false;
+    const auto size = unparsed_bytes_.find(head_terminator);
+    return size != std::string::npos &&
+           !parse_response_head(std::string_view(unparsed_bytes_)
+                                    .substr(0, size + head_terminator.size()));
+}
+
 void client_connection::deliver_response()
 {
     is_awaiting_response_ = false;
--- a/modules/turmericlane_gateway/http/client_connection.h
+++ b/modules/turmericlane_gateway/http/client_connection.h
@@ -26,7 +26,7 @@
     /** The other side did not acknowledge sent bytes in time. */
     unacknowledged,
     /** It received bytes that are not a valid answer, or that answer no
-        request. */
+        request. Nothing that they say is to be relied on. */
     malformed,
     /** The answer was too large, or the process had no memory left for it. */
     too_large
@@ -130,6 +130,7 @@
     void on_bytes_read(std::size_t size);
     void on_read_error(boost::system::error_code ec);
     void parse();
+    bool is_head_refused() const;
     void deliver_response();
     void end(connection_end reason);
 
--- /dev/null
+++ b/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
@@ -0,0 +1,195 @@
+#include "gateway_fixture.h"
+#include "plain_caller.h"
+
+#include <doctest/doctest.h>
+
+#include <regex>
+
+using namespace turmericlane;
+using namespace turmericlane::tests;
+
+namespace
+{
+
+const std::string searcher_fields = "X-Signature: sig.1\r\nX-Id: 1\r\n";
+const std::string searcher_body = "body of the searcher";
+const std::string sound_id = "sound";
+
+/** Returns the text of an answer with a body of stated length. */
+std::string answer_with(
+    const std::string& status_line, const std::string& extra_fields = {})
+{
+    return status_line + "\r\n" + searcher_fields + extra_fields +
+           "Content-Length: " + std::to_string(searcher_body.size()) +
+           "\r\n\r\n" + searcher_body;
+}
+
+/** Returns answers that share a status line. */
+std::vector<std::string> forms_of_answer(const std::string& status_line)
+{
+    const auto head = status_line + "\r\n" + searcher_fields;
+    return {
+        answer_with(status_line),
+        head + "Content-Length: 0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        head + "Connection: close\r\n\r\n" + searcher_body,
+        status_line + "\r\nX-Signature: sig.1\r\nContent-Length: 4\r\n\r\nbody",
+        status_line + "\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 100 Continue\r\n\r\n" + answer_with(status_line)};
+}
+
+/** Returns the status of an answer as a caller received it; 0 if it is not a
+    whole HTTP answer. */
+unsigned status_of(const std::string& text)
+{
+    static const std::regex form(
+        "HTTP/1\\.1 ([1-5][0-9][0-9]) [ -~]*\r\n"
+        "([-!#$%&'*+.^_`|~0-9A-Za-z]+: [ -~]*\r\n)*\r\n");
+    const auto end = text.find("\r\n\r\n");
+    std::smatch match;
+    const auto head = text.substr(0, end == std::string::npos ? 0 : end + 4);
+    if (!std::regex_match(head, match, form))
+        return 0;
+    const auto body_size = text.size() - head.size();
+    const auto length = "\r\nContent-Length: " + std::to_string(body_size);
+    if (head.find(length + "\r\n") == std::string::npos)
+        return 0;
+    return static_cast<unsigned>(std::stoul(match[1]));
+}
+
+/** A gateway whose searcher sends answer_text, except to requests with the id
+    sound_id. */
+struct broken_answer_fixture : gateway_fixture
+{
+    broken_answer_fixture()
+    {
+        single_route_semantics = execution_semantics::at_most_once;
+        add_raw_searcher(
+            "one", "a",
+            [this](const raw_connection& connection, const std::string& request)
+            {
+                if (raw_field(request, "X-Id") == sound_id)
+                {
+                    connection->write(own_answer(request));
+                    return;
+                }
+                ++broken_count;
+                connection->write(answer_text);
+                if (answer_text.find("Connection: close") != std::string::npos)
+                    connection->close_after_writing();
+            });
+    }
+
+    /** Sends a request and returns all bytes that come back. Does not use the
+        gateway's own client, which refuses broken answers itself. */
+    std::string exchange(const std::string& method, const std::string& id)
+    {
+        plain_caller caller(port);
+        caller.send(
+            method + " /one/x HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id +
+            "\r\nX-Left: 900\r\nContent-Length: 0\r\n"
+            "Connection: close\r\n\r\n");
+        run_until(
+            loop,
+            [&]
+            {
+                caller.read_available();
+                return caller.has_ended;
+            });
+        return caller.received;
+    }
+
+    /** Checks that an answer of the searcher counts as lost: the request may
+        have run, and the searcher stays in use. */
+    void check_is_refused(const std::string& text)
+    {
+        answer_text = text;
+        for (const std::string method : {"GET", "POST"})
+        {
+            CAPTURE(text);
+            CAPTURE(method);
+            broken_count = 0;
+            const auto answer = exchange(method, "1");
+            CHECK(status_of(answer) == 502);
+            CHECK(answer.find("sig.1") == std::string::npos);
+            CHECK(answer.find("body") == std::string::npos);
+            CHECK(broken_count == 1);
+            // A searcher that only fails would be avoided.
+            CHECK(status_of(exchange(method, sound_id)) == 200);
+        }
+    }
+
+    std::string answer_text;
+    std::size_t broken_count = 0;
+};
+
+} // namespace
+
+// Guards against a caller that gets an answer which is not HTTP.
+TEST_CASE_FIXTURE(
+    broken_answer_fixture, "an answer with an impossible status is refused")
+{
+    start(0, 1.0);
+    for (const std::string status :
+         {"000", "001", "042", "099", "600", "777", "999"})
+        for (const auto& it : forms_of_answer("HTTP/1.1 " + status + " Odd"))
+            check_is_refused(it);
+}
+
+// Guards against an order that runs twice, and against a searcher that gets no
+// more requests, because of bytes that are not an answer.
+TEST_CASE_FIXTURE(
+    broken_answer_fixture, "statements of a refused answer are not believed")
+{
+    start(0, 1.0);
+    for (const std::string fields :
+         {"X-Not-Run: 1\r\n", "X-Leaving: 1\r\n", "Retry-After: 30\r\n",
+          "X-Load: 9,9,1\r\n"})
+        check_is_refused(answer_with("HTTP/1.1 000 Odd", fields));
+    for (const auto* event : {"departing", "searcher_quiet", "field_ignored"})
+        CHECK(log_text().find(event) == std::string::npos);
+}
+
+// Guards against a caller that gets a failure although another searcher could
+// serve it.
+TEST_CASE_FIXTURE(
+    broken_answer_fixture,
+    "a repeatable request goes elsewhere after a refusal")
+{
+    single_route_semantics = execution_semantics::idempotent;
+    answer_text = answer_with("HTTP/1.1 000 Odd");
+    add_raw_searcher(
+        "one", "b",
+        [](const raw_connection& connection, const std::string& request)
+        { connection->write(own_answer(request)); });
+    start(0, 1.0);
+    for (int i = 0; i < 40 && broken_count == 0; ++i)
+    {
+        const auto answer = exchange("GET", std::to_string(i));
+        CHECK(status_of(answer) == 200);
+        CHECK(answer.ends_with("body of " + std::to_string(i)));
+    }
+    CHECK(broken_count > 0);
+}
+
+TEST_CASE_FIXTURE(
+    broken_answer_fixture, "a gathered answer leaves out a refused part")
+{
+    for (const std::string id : {"s0", "s1"})
+        add_raw_searcher(
+            id, id,
+            [id](const raw_connection& connection, const std::string& request)
+            {
+                auto text = raw_answer(
+                    "sig." + id, raw_field(request, "X-Id"), make_record('r'));
+                if (id == "s1")
+                    text.replace(0, text.find('\r'), "HTTP/1.1 000 Odd");
+                connection->write(text);
+            });
+    start(2, 0.5);
+    const auto answer = get_with_id("/all/x", "1");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(field(answer->fields, "X-Parts") == "sig.s0");
+    CHECK(field(answer->fields, "X-Missing") == "1");
+}
--- a/modules/turmericlane_gateway/turmericlane_gateway.h
+++ b/modules/turmericlane_gateway/turmericlane_gateway.h
@@ -6,7 +6,7 @@
     with the other instances, and follows a store of configuration and
     searchers.
 
-    Dependencies: core, forwarding, metrics, state, wire, Boost.
+    Dependencies: core, forwarding, http, metrics, state, wire, Boost.
     The module must not depend on the names and formats of a platform; an
     adapter passes them in as protocol_names and as decoded values.
 */
--- /dev/null
+++ b/modules/turmericlane_http/response/response_head.cpp
@@ -0,0 +1,78 @@
+#include "response_head.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+constexpr std::string_view line_end = "\r\n";
+constexpr std::size_t version_size = std::string_view("HTTP/1.1").size();
+constexpr std::size_t status_size = 3;
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+
+bool is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+/** True if the text has no control bytes other than tabs. */
+bool is_printable(std::string_view text)
+{
+    return std::none_of(
+        text.begin(), text.end(),
+        [](char c)
+        {
+            const auto code = static_cast<unsigned char>(c);
+            return (code < 0x20 && c != '\t') || code == 0x7f;
+        });
+}
+
+/** Removes the first line from a text and returns it without its end. */
+std::string_view take_line(std::string_view& text)
+{
+    const auto size = text.find(line_end);
+    const auto line = text.substr(0, size);
+    text.remove_prefix(
+        size == std::string_view::npos ? text.size() : size + line_end.size());
+    return line;
+}
+
+std::optional<unsigned> parse_status_line(std::string_view line)
+{
+    const auto version = line.substr(0, version_size);
+    if (version != "HTTP/1.0" && version != "HTTP/1.1")
+        return std::nullopt;
+    line.remove_prefix(version_size);
+    if (line.size() < status_size + 2 || line.front() != ' ' ||
+        line[status_size + 1] != ' ')
+        return std::nullopt;
+    const auto digits = line.substr(1, status_size);
+    const auto reason = line.substr(status_size + 2);
+    if (!std::all_of(digits.begin(), digits.end(), is_digit) ||
+        !is_printable(reason))
+        return std::nullopt;
+    unsigned status = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    if (status < min_status || status > max_status)
+        return std::nullopt;
+    return status;
+}
+
+} // namespace
+
+std::optional<response_head> parse_response_head(std::string_view text)
+{
+    if (!text.ends_with(head_terminator))
+        return std::nullopt;
+    const auto status = parse_status_line(take_line(text));
+    if (!status)
+        return std::nullopt;
+    return response_head{*status};
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_http/turmericlane_http.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/** @file
+    Module http: what counts as an HTTP response, for all clients.
+
+    Dependencies: none.
+    The module must not depend on sockets, threads or the meaning of a response.
+*/
+
+#include "response/response_head.h"
