Refuse answers with a line that continues a field

What callers saw: an answer in whose head the name of a field began with a blank or a tab reached them. After another field the parser joins such a line to the value before it: " Content-Length: 3" after "X-Even: 1" left the gateway as "X-Even: 1 Content-Length: 3". Where the hidden line was the only length, the body ended with the connection. After the echoed id the joined value matched no request, and the caller waited for the deadline (504).

Cause: line folding, which HTTP/1.1 has dropped and which a gateway may refuse. Readers that differ on it see different fields and bodies.

Change: parse_response_head checks each line of a head: a token, a colon directly after it, a value without control bytes other than tabs.

--- a/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
+++ b/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
@@ -38,6 +38,35 @@
         "HTTP/1.1 100 Continue\r\n\r\n" + answer_with(status_line)};
 }
 
+/** Returns field lines whose name is not a token. */
+std::vector<std::string> lines_with_odd_names()
+{
+    using namespace std::string_literals;
+    std::vector<std::string> lines = {
+        "Content-Length : 3",
+        "Content-Length\t: 3",
+        "Content Length: 3",
+        "Content-\rLength: 3",
+        " Content-Length: 3",
+        "\tContent-Length: 3",
+        "Transfer-Encoding : gzip",
+        "Transfer Encoding: gzip",
+        " Transfer-Encoding: gzip",
+        "X-Odd",
+        ": 1",
+        "X-(Odd): 1",
+        "X-Odd\x80: 1",
+        "X-Odd: 1\nX-Odder: 1"};
+    for (const auto& it :
+         {" "s, "\t"s, "\0"s, "\x01"s, "\n"s, "\v"s, "\r"s, "\x1f"s, "\x7f"s})
+    {
+        lines.push_back(it + "X-Odd: 1");
+        lines.push_back("X" + it + "Odd: 1");
+        lines.push_back("X-Odd" + it + ": 1");
+    }
+    return lines;
+}
+
 /** Returns the status of an answer as a caller received it; 0 if it is not a
     whole HTTP answer. */
 unsigned status_of(const std::string& text)
@@ -136,6 +165,39 @@
             check_is_refused(it);
 }
 
+// Guards against a caller that gets a line that is no field, or a body of
+// another length, because the reader skipped a line or joined it to the one
+// before.
+TEST_CASE_FIXTURE(
+    broken_answer_fixture, "an answer with an odd field name is refused")
+{
+    start(0, 1.0);
+    for (const auto& it : lines_with_odd_names())
+    {
+        check_is_refused(
+            answer_with("HTTP/1.1 200 OK", "X-Even: 1\r\n" + it + "\r\n"));
+        check_is_refused(answer_with("HTTP/1.1 200 OK", it + "\r\n"));
+        check_is_refused(
+            "HTTP/1.1 200 OK\r\n" + searcher_fields + "X-Even: 1\r\n" + it +
+            "\r\nConnection: close\r\n\r\nbody");
+        check_is_refused(
+            "HTTP/1.1 100 Continue\r\n" + it + "\r\n\r\n" +
+            answer_with("HTTP/1.1 200 OK"));
+    }
+}
+
+TEST_CASE_FIXTURE(
+    broken_answer_fixture,
+    "an answer with a control byte in a value is refused")
+{
+    using namespace std::string_literals;
+    start(0, 1.0);
+    for (const auto& it : {"\0"s, "\x01"s, "\n"s, "\r"s, "\x1f"s, "\x7f"s})
+        for (const auto& value : {it, it + "a", "a" + it, "a" + it + "b"})
+            check_is_refused(
+                answer_with("HTTP/1.1 200 OK", "X-Odd: " + value + "\r\n"));
+}
+
 // Guards against an order that runs twice, and against a searcher that gets no
 // more requests, because of bytes that are not an answer.
 TEST_CASE_FIXTURE(
--- a/modules/turmericlane_http/response/response_head.cpp
+++ b/modules/turmericlane_http/response/response_head.cpp
@@ -20,16 +20,17 @@
     return c >= '0' && c <= '9';
 }
 
-/** True if the text has no control bytes other than tabs. */
-bool is_printable(std::string_view text)
+bool is_token_char(char c)
 {
-    return std::none_of(
-        text.begin(), text.end(),
-        [](char c)
-        {
-            const auto code = static_cast<unsigned char>(c);
-            return (code < 0x20 && c != '\t') || code == 0x7f;
-        });
+    constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    return is_digit(c) || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+           punctuation.find(c) != std::string_view::npos;
+}
+
+bool is_token(std::string_view text)
+{
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(), is_token_char);
 }
 
 /** Removes the first line from a text and returns it without its end. */
@@ -69,10 +70,32 @@
 {
     if (!text.ends_with(head_terminator))
         return std::nullopt;
+    text.remove_suffix(line_end.size());
     const auto status = parse_status_line(take_line(text));
     if (!status)
         return std::nullopt;
+    while (!text.empty())
+        if (!is_field_line(take_line(text)))
+            return std::nullopt;
     return response_head{*status};
 }
 
+bool is_field_line(std::string_view line)
+{
+    const auto colon = line.find(':');
+    return colon != std::string_view::npos && is_token(line.substr(0, colon)) &&
+           is_printable(line.substr(colon + 1));
+}
+
+bool is_printable(std::string_view text)
+{
+    return std::none_of(
+        text.begin(), text.end(),
+        [](char c)
+        {
+            const auto code = static_cast<unsigned char>(c);
+            return (code < 0x20 && c != '\t') || code == 0x7f;
+        });
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_http/tests/response_head_tests.cpp
+++ b/modules/turmericlane_http/tests/response_head_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cctype>
+#include <cstring>
 #include <string>
 
 using namespace turmericlane;
@@ -67,3 +69,42 @@
     for (std::size_t size = 0; size < text.size(); ++size)
         CHECK_FALSE(parse_response_head(text.substr(0, size)));
 }
+
+// Guards against readers that differ on where a field ends.
+TEST_CASE("a field is a token, a colon and a printable value")
+{
+    for (const std::string line :
+         {"X-A: 1", "X-A:1", "X-A:", "X-A: \t", "a!#$%&'*+-.^_`|~09Z: 1",
+          "X-A: a: b", "X-A: \"a\\\tb\"", "X-A: \xc3\xa4", "X-A: \xff"})
+    {
+        CAPTURE(line);
+        CHECK(is_field_line(line));
+        CHECK(parse_response_head("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n"));
+    }
+    for (int code = 0; code < 256; ++code)
+    {
+        const std::string text(1, static_cast<char>(code));
+        CAPTURE(code);
+        const auto is_letter_or_digit = code < 0x80 && std::isalnum(code) != 0;
+        const auto is_in_token =
+            is_letter_or_digit ||
+            (code != 0 && std::strchr("!#$%&'*+-.^_`|~", code) != nullptr);
+        // A colon ends the name.
+        if (code != ':')
+            for (const auto& name :
+                 {text, text + "a", "a" + text, "a" + text + "b"})
+                CHECK(is_field_line(name + ": 1") == is_in_token);
+        const auto is_in_value = code == '\t' || (code >= 0x20 && code != 0x7f);
+        for (const auto& value : {text, text + "a", "a" + text})
+            CHECK(is_field_line("X-A: " + value) == is_in_value);
+    }
+    for (const std::string lines :
+         {"X-A", "", ": 1", "X-A: 1\r\n", "X-A: 1\r\n X-B: 1", "X-A: 1\r\n\tb",
+          " X-A: 1", "X-A: 1\nX-B: 1"})
+    {
+        CAPTURE(lines);
+        CHECK_FALSE(is_field_line(lines));
+        CHECK_FALSE(
+            parse_response_head("HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\n"));
+    }
+}
