Refuse answers whose coding or length is not certain

What callers saw: an answer with a transfer coding that the gateway does not know ("gzip", "identity", "gzip, chunked", no coding) reached them as a success with the coded bytes for a body, because the field with the coding is not passed on. Without an end of the connection they waited for the deadline (504).

Cause: the parser takes an unknown coding for "no length" and, where "chunked" is the last of several, removes only that one. It also accepts a length that is stated twice, which other readers of the same answer take differently.

Change: parse_response_head allows one field that states a length or a coding, a length that is a number, and no coding but "chunked".

--- a/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
+++ b/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
@@ -198,6 +198,43 @@
                 answer_with("HTTP/1.1 200 OK", "X-Odd: " + value + "\r\n"));
 }
 
+// Guards against a caller that gets a body which is coded, or of another
+// length, because the reader can't tell where it ends.
+TEST_CASE_FIXTURE(
+    broken_answer_fixture,
+    "an answer with an unknown coding or an unclear length is refused")
+{
+    start(0, 1.0);
+    for (const std::string fields :
+         {"Transfer-Encoding: gzip",
+          "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: chunked, gzip",
+          "Transfer-Encoding: identity",
+          "Transfer-Encoding: chunked, chunked",
+          "Transfer-Encoding: xchunked",
+          "Transfer-Encoding:",
+          "Transfer-Encoding: chunked;a=b",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nContent-Length: 4",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked",
+          "Content-Length: 4\r\nContent-Length: 4",
+          "Content-Length: 4\r\nContent-Length: 3",
+          "Content-Length: 4, 4",
+          "Content-Length:",
+          "Content-Length: +4",
+          "Content-Length: -4",
+          "Content-Length: 0x4",
+          "Content-Length: 4 4",
+          "Content-Length: 4x",
+          "Content-Length: 18446744073709551620"})
+    {
+        const auto head = "HTTP/1.1 200 OK\r\n" + searcher_fields + fields;
+        check_is_refused(head + "\r\nConnection: close\r\n\r\nbody");
+        check_is_refused(head + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    }
+}
+
 // Guards against an order that runs twice, and against a searcher that gets no
 // more requests, because of bytes that are not an answer.
 TEST_CASE_FIXTURE(
--- a/modules/turmericlane_http/response/response_head.cpp
+++ b/modules/turmericlane_http/response/response_head.cpp
@@ -1,5 +1,7 @@
 #include "response_head.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -33,6 +35,20 @@
            std::all_of(text.begin(), text.end(), is_token_char);
 }
 
+bool is_equal_ignoring_case(std::string_view a, std::string_view b)
+{
+    return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto start = text.find_first_not_of(blanks);
+    if (start == std::string_view::npos)
+        return {};
+    return text.substr(start, text.find_last_not_of(blanks) + 1 - start);
+}
+
 /** Removes the first line from a text and returns it without its end. */
 std::string_view take_line(std::string_view& text)
 {
@@ -64,6 +80,31 @@
     return status;
 }
 
+bool is_length(std::string_view text)
+{
+    std::uint64_t length = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [position, ec] = std::from_chars(text.data(), end, length);
+    return ec == std::errc() && position == end;
+}
+
+/** Returns the framing that a field states; nothing if it states none. */
+std::optional<body_framing> framing_of_field(std::string_view name)
+{
+    if (is_equal_ignoring_case(name, "content-length"))
+        return body_framing::length;
+    if (is_equal_ignoring_case(name, "transfer-encoding"))
+        return body_framing::chunked;
+    return std::nullopt;
+}
+
+bool is_framing_value(body_framing framing, std::string_view value)
+{
+    return framing == body_framing::length
+               ? is_length(value)
+               : is_equal_ignoring_case(value, "chunked");
+}
+
 } // namespace
 
 std::optional<response_head> parse_response_head(std::string_view text)
@@ -74,10 +115,26 @@
     const auto status = parse_status_line(take_line(text));
     if (!status)
         return std::nullopt;
+    response_head head;
+    head.status = *status;
+    bool has_framing = false;
     while (!text.empty())
-        if (!is_field_line(take_line(text)))
+    {
+        const auto line = take_line(text);
+        if (!is_field_line(line))
+            return std::nullopt;
+        const auto colon = line.find(':');
+        const auto name = line.substr(0, colon);
+        const auto value = trim(line.substr(colon + 1));
+        const auto framing = framing_of_field(name);
+        if (!framing)
+            continue;
+        if (has_framing || !is_framing_value(*framing, value))
             return std::nullopt;
-    return response_head{*status};
+        has_framing = true;
+        head.framing = *framing;
+    }
+    return head;
 }
 
 bool is_field_line(std::string_view line)
--- a/modules/turmericlane_http/tests/response_head_tests.cpp
+++ b/modules/turmericlane_http/tests/response_head_tests.cpp
@@ -108,3 +108,57 @@
             parse_response_head("HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\n"));
     }
 }
+
+// Guards against readers that differ on where a body ends.
+TEST_CASE("a head states at most one length or coding")
+{
+    const auto parse = [](const std::string& lines)
+    { return parse_response_head("HTTP/1.1 200 OK\r\n" + lines + "\r\n"); };
+    const auto plain_head = parse("X-A: 1\r\n");
+    REQUIRE(plain_head);
+    CHECK(plain_head->framing == body_framing::connection_end);
+    for (const std::string lines :
+         {"Content-Length: 0\r\n", "content-length:12 \t\r\n",
+          "CONTENT-LENGTH: 18446744073709551615\r\nX-A: 1\r\n",
+          "X-A: 1\r\nContent-Length: 007\r\n"})
+    {
+        CAPTURE(lines);
+        const auto head = parse(lines);
+        REQUIRE(head);
+        CHECK(head->framing == body_framing::length);
+    }
+    for (const std::string lines :
+         {"Transfer-Encoding: chunked\r\n", "transfer-encoding:CHUNKED\r\n"})
+    {
+        CAPTURE(lines);
+        const auto head = parse(lines);
+        REQUIRE(head);
+        CHECK(head->framing == body_framing::chunked);
+    }
+    for (const std::string lines :
+         {"Content-Length:\r\n",
+          "Content-Length: +4\r\n",
+          "Content-Length: -4\r\n",
+          "Content-Length: 4x\r\n",
+          "Content-Length: 0x4\r\n",
+          "Content-Length: 4 4\r\n",
+          "Content-Length: 4, 4\r\n",
+          "Content-Length: 4.0\r\n",
+          "Content-Length: 18446744073709551616\r\n",
+          "Content-Length: 4\r\nContent-Length: 4\r\n",
+          "Content-Length: 4\r\ncontent-length: 3\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding:\r\n",
+          "Transfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: identity\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n",
+          "Transfer-Encoding: chunked;a=b\r\n"})
+    {
+        CAPTURE(lines);
+        CHECK_FALSE(parse(lines));
+    }
+}
--- a/modules/turmericlane_http/turmericlane_http.h
+++ b/modules/turmericlane_http/turmericlane_http.h
@@ -3,7 +3,7 @@
 /** @file
     Module http: what counts as an HTTP response, for all clients.
 
-    Dependencies: none.
+    Dependencies: Boost.
     The module must not depend on sockets, threads or the meaning of a response.
 */
 
