Don't believe the head of an answer whose body is malformed

What callers saw: 503 for requests to a sound searcher. It had sent an answer with a proper head that said that it is leaving, or wants nothing for a while, and a chunked body that was not well formed. The caller of that answer got 502, as it should be, but the gateway believed the head and hid the searcher.

Cause: client_connection reports the head of every answer that did not become complete, so that a searcher that ends with its connection is still known to be leaving. It made no difference between an answer that broke off and bytes that are not an answer.

Change: the head is reported only if all that arrived was valid. An answer that breaks off, or is given up for its size, is reported as before ("a searcher that says that it is leaving gets nothing new").

Evidence: "statements of a refused answer are not believed", with three malformed bodies for each of four statements, fails on the code before: after the first answer that says that its searcher is leaving, the next request of a sound caller gets 503.

--- a/modules/turmericlane_gateway/http/client_connection.cpp
+++ b/modules/turmericlane_gateway/http/client_connection.cpp
@@ -336,7 +336,8 @@
         return;
     auto* const listener = listener_;
     const auto self = shared_from_this();
-    if (parser_ && parser_->is_header_done())
+    if (parser_ && parser_->is_header_done() &&
+        reason != connection_end::malformed)
         listener->on_incomplete_response(
             *this, parser_->get().result_int(), parser_->get());
     if (listener_ == nullptr)
--- a/modules/turmericlane_gateway/http/client_connection.h
+++ b/modules/turmericlane_gateway/http/client_connection.h
@@ -49,7 +49,7 @@
     on_response(client_connection& connection, server_response&& response) = 0;
 
     /** The connection ends before the answer was complete; on_end follows. The
-        head of the answer had arrived. */
+        head of the answer had arrived, and the rest was valid so far. */
     virtual void on_incomplete_response(
         client_connection&,
         unsigned /*status*/,
--- a/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
+++ b/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
@@ -244,7 +244,17 @@
     for (const std::string fields :
          {"X-Not-Run: 1\r\n", "X-Leaving: 1\r\n", "Retry-After: 30\r\n",
           "X-Load: 9,9,1\r\n"})
+    {
         check_is_refused(answer_with("HTTP/1.1 000 Odd", fields));
+        check_is_refused(
+            answer_with("HTTP/1.1 503 Odd", fields + "X Y: 1\r\n"));
+        for (const std::string body :
+             {"4x\r\nbody\r\n0\r\n\r\n", "4\r\nbody?\r\n0\r\n\r\n",
+              "4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n"})
+            check_is_refused(
+                "HTTP/1.1 503 Odd\r\n" + searcher_fields + fields +
+                "Transfer-Encoding: chunked\r\n\r\n" + body);
+    }
     for (const auto* event : {"departing", "searcher_quiet", "field_ignored"})
         CHECK(log_text().find(event) == std::string::npos);
 }
