turmericlaned: refuse replies of backend servers that are not HTTP

By reading: a booking counts as run whatever the status is, and as not run if the status is 503. An interim response other than 100 was taken for the reply.

Cause: the HTTP library takes any three digits for a status, skips lines that it does not understand, and reads a body without a known length until the connection ends.

Change: response_stream stands between the library and the connection. It reads a head as a whole, asks parse_response_head, which the gateway uses too, and fails like a broken connection before the library gets a byte. The job may have run, the connection is closed, and nothing of the reply is used. It leaves out interim responses. The limit of a head is the gateway's now.

--- a/modules/turmericlane_gateway/http/client_connection.cpp
+++ b/modules/turmericlane_gateway/http/client_connection.cpp
@@ -19,8 +19,6 @@
     set_acknowledgement_timeout was called. */
 constexpr auto default_acknowledgement_timeout =
     std::chrono::milliseconds(2500);
-/** Size limit of the head of an answer. */
-constexpr std::uint32_t max_header_bytes = 64U << 10U;
 constexpr std::size_t read_buffer_bytes = 32U << 10U;
 /** Limit of what a server may send beside heads and bodies: interim answers,
     chunk extensions and trailers. */
@@ -181,7 +179,7 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->body_limit(response_body::max_bytes);
-    parser_->header_limit(max_header_bytes);
+    parser_->header_limit(max_response_head_bytes);
     parser_->skip(!expects_body_);
 }
 
--- a/modules/turmericlane_http/response/response_head.h
+++ b/modules/turmericlane_http/response/response_head.h
@@ -11,6 +11,9 @@
 /** The empty line with the line end before it, which ends a head. */
 constexpr std::string_view head_terminator = "\r\n\r\n";
 
+/** Size limit of the head of a response, in bytes. */
+constexpr std::size_t max_response_head_bytes = 64U << 10U;
+
 /** How the end of a response's body is found. */
 enum class body_framing : std::uint8_t
 {
--- a/modules/turmericlane_net/backend/backend_connection.cpp
+++ b/modules/turmericlane_net/backend/backend_connection.cpp
@@ -1,5 +1,7 @@
 #include "backend_connection.h"
 
+#include "../http/response_stream.h"
+
 #include <algorithm>
 
 #include <sys/socket.h>
@@ -118,7 +120,8 @@
     stream_.begin_exchange(
         socket.sock, time_, job_->deadline, job_->send_condition,
         *is_cancelled_);
-    return callback(stream_);
+    response_stream checked_stream(stream_);
+    return callback(checked_stream);
 }
 
 } // namespace turmericlane
--- a/modules/turmericlane_net/tests/scripted_backend.h
+++ b/modules/turmericlane_net/tests/scripted_backend.h
@@ -76,6 +76,9 @@
         return requests_;
     }
 
+    /** True to close each connection after its first response. */
+    std::atomic<bool> closes_after_reply = false;
+
     /** Returns an HTTP response. */
     static std::string response(int status, const std::string& body)
     {
@@ -133,6 +136,8 @@
             if (!reply)
                 break;
             boost::asio::write(socket, boost::asio::buffer(*reply), ec);
+            if (closes_after_reply)
+                break;
         }
         std::lock_guard lock(mutex_);
         socket.shutdown(tcp::socket::shutdown_both, ec);
--- a/modules/turmericlane_net/turmericlane_net.h
+++ b/modules/turmericlane_net/turmericlane_net.h
@@ -4,7 +4,7 @@
     Module net: sessions with peers, connections to backend servers, and the
     HTTP front end.
 
-    Dependencies: core, wire, metrics, Boost.Asio, cpp-httplib.
+    Dependencies: core, http, wire, metrics, Boost.Asio, cpp-httplib.
     The module must not depend on what messages and requests mean.
 */
 
