turmericlaned: refuse replies with malformed chunks

What callers saw: a reply in chunks with other bytes beside a size ("7x", "0x7", "+7"), between two chunks, or with lines that end with LF alone, was accepted: 9 of 16 forms. Where bytes followed a chunk, the body up to there was the whole reply: "4\r\nbodyX\r\n" gave "body".

Cause: the HTTP library parses a size leniently, and ends the body without an error where it expects the end of a chunk and finds something else, or the end of the connection.

Change: response_stream passes the bytes of such a body through chunk_checker, and fails at the first that is not valid, or if the connection ends before the last chunk. The gateway's parser refuses these forms already.

--- a/modules/turmericlane_http/response/response_head.h
+++ b/modules/turmericlane_http/response/response_head.h
@@ -52,7 +52,8 @@
 
     @param text  the head with its head_terminator
     @returns nothing if the head is not that of a response; then nothing that it
-             says can be relied on */
+             says can be relied on
+    @see chunk_checker */
 std::optional<response_head> parse_response_head(std::string_view text);
 
 /** True for the line of a field, without its end: a token, a colon directly
--- a/modules/turmericlane_http/turmericlane_http.h
+++ b/modules/turmericlane_http/turmericlane_http.h
@@ -7,4 +7,5 @@
     The module must not depend on sockets, threads or the meaning of a response.
 */
 
+#include "response/chunk_checker.h"
 #include "response/response_head.h"
--- a/modules/turmericlane_net/http/response_stream.cpp
+++ b/modules/turmericlane_net/http/response_stream.cpp
@@ -32,7 +32,12 @@
         head_position_ += n;
         return static_cast<ssize_t>(n);
     }
-    return source_.read(ptr, size);
+    const auto n = source_.read(ptr, size);
+    if (!chunks_ || n < 0)
+        return n;
+    // The connection must not end before the last chunk.
+    return n > 0 && chunks_->accept({ptr, static_cast<std::size_t>(n)}) ? n
+                                                                        : -1;
 }
 
 ssize_t response_stream::write(const char* ptr, size_t size)
@@ -64,6 +69,8 @@
             return false;
         if (head->is_interim())
             continue;
+        if (head->framing == body_framing::chunked)
+            chunks_.emplace();
         has_head_ = true;
         return true;
     }
--- a/modules/turmericlane_net/http/response_stream.h
+++ b/modules/turmericlane_net/http/response_stream.h
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <optional>
 #include <string>
 
 namespace turmericlane
@@ -42,6 +43,8 @@
     /** Number of bytes of the head that the library has read. */
     std::size_t head_position_ = 0;
     bool has_head_ = false;
+    /** Checks the body if it consists of chunks. */
+    std::optional<chunk_checker> chunks_;
 };
 
 } // namespace turmericlane
--- a/modules/turmericlane_net/tests/broken_reply_tests.cpp
+++ b/modules/turmericlane_net/tests/broken_reply_tests.cpp
@@ -113,6 +113,21 @@
     check_is_refused("");
 }
 
+// Guards against a body that is cut short and counts as the whole one.
+TEST_CASE_FIXTURE(broken_reply_fixture, "a reply with malformed chunks is lost")
+{
+    for (const std::string body :
+         {"7x\r\n{\"a\":1}\r\n0\r\n\r\n", "0x7\r\n{\"a\":1}\r\n0\r\n\r\n",
+          "+7\r\n{\"a\":1}\r\n0\r\n\r\n", "7 \r\n{\"a\":1}\r\n0\r\n\r\n",
+          "7\r\n{\"a\":1}?\r\n0\r\n\r\n", "7\n{\"a\":1}\n0\r\n\r\n",
+          "3\r\n{\"a\":1}\r\n0\r\n\r\n", "7\r\n{\"a\":1}\r\n0x\r\n\r\n",
+          "7\r\n{\"a\":1}\r\n0\r\nX Odd: 1\r\n\r\n", "7\r\n{\"a\":1}\r\n",
+          "7\r\n{\"a\":1}\r\n0\r\n", "7\r\n{\"a\":1}?", "7\r\n{\"a\":1}",
+          "x\r\n", "\r\n", ""})
+        check_is_refused(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+}
+
 // Guards against a reply that counts as a broken one, and against an interim
 // response that counts as the reply.
 TEST_CASE_FIXTURE(broken_reply_fixture, "a reply in any valid form is accepted")
