turmericlaned: refuse answers of its services that are not HTTP

What operators would see: turmericlaned took an answer of the configuration service or the instance list that is not HTTP for one. A body whose length the HTTP library does not see ("Content-Length : 99", an unknown coding) counted as whole when the connection ended, and an answer with status 000 was an error without a reason.

Cause: platform_client used the HTTP library's client as it is.

Change: http_client is that client with response_stream between it and the connection, so that the same rule holds for services and backend servers. What fails is "no answer", with the library's reason.

--- a/modules/turmericlane_net/turmericlane_net.h
+++ b/modules/turmericlane_net/turmericlane_net.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** @file
-    Module net: sessions with peers, connections to backend servers, and the
-    HTTP front end.
+    Module net: sessions with peers, connections to backend servers, the HTTP
+    front end, and the HTTP client.
 
     Dependencies: core, http, wire, metrics, Boost.Asio, cpp-httplib.
     The module must not depend on what messages and requests mean.
--- a/modules/turmericlane_node/platform/platform_client.cpp
+++ b/modules/turmericlane_node/platform/platform_client.cpp
@@ -1,6 +1,6 @@
 #include "platform_client.h"
 
-#include <httplib.h>
+#include <turmericlane_net/http/http_client.h>
 
 #include <cassert>
 #include <csignal>
@@ -33,7 +33,7 @@
 
 platform_client::platform_client(host_port address)
     : address_(std::move(address))
-    , client_(std::make_unique<httplib::Client>(address_.host, address_.port))
+    , client_(std::make_unique<http_client>(address_.host, address_.port))
 {
     client_->set_tcp_nodelay(true);
     client_->set_keep_alive(true);
--- a/modules/turmericlane_node/platform/platform_client.h
+++ b/modules/turmericlane_node/platform/platform_client.h
@@ -9,18 +9,15 @@
 #include <string>
 #include <thread>
 
-namespace httplib
-{
-class Client;
-}
-
 namespace turmericlane
 {
 
+class http_client;
+
 /** Answer of a service of the platform. */
 struct platform_answer
 {
-    /** HTTP status; 0 if there was no answer. */
+    /** HTTP status; 0 if there was no valid answer. */
     int status = 0;
     std::string body;
     /** Reason why there was no answer. */
@@ -75,7 +72,7 @@
     std::unique_ptr<request> pending_request_;
     bool is_stopping_ = false;
     bool is_finished_ = false;
-    std::unique_ptr<httplib::Client> client_;
+    std::unique_ptr<http_client> client_;
     std::thread thread_;
 };
 
