turmericlane: refuse replies of instances that are not HTTP

What operators would see: "turmericlane book" took the reply with a status such as 000 or 700, or with a body whose length the HTTP library does not see, for an instance's, and could report a booking as run or not run because of it.

Cause: the operators' client used the HTTP library's client as it is.

Change: it uses http_client, which asks the same rule as the gateway and turmericlaned. What fails is "no reply", and the request may have run.

--- a/apps/turmericlane/instance_client.cpp
+++ b/apps/turmericlane/instance_client.cpp
@@ -2,7 +2,9 @@
 
 #include "table.h"
 
-#include <httplib.h>
+#include <turmericlane_net/http/http_client.h>
+
+#include <memory>
 
 namespace turmericlane
 {
@@ -10,15 +12,15 @@
 namespace
 {
 
-httplib::Client
+std::unique_ptr<http_client>
 make_client(const ip_endpoint& target, std::chrono::milliseconds timeout)
 {
-    httplib::Client client(target.address, target.port);
-    client.set_tcp_nodelay(true);
-    client.set_follow_location(false);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
+    auto client = std::make_unique<http_client>(target.address, target.port);
+    client->set_tcp_nodelay(true);
+    client->set_follow_location(false);
+    client->set_connection_timeout(timeout);
+    client->set_read_timeout(timeout);
+    client->set_write_timeout(timeout);
     return client;
 }
 
@@ -48,7 +50,7 @@
 instance_client::get(const std::string& path) const
 {
     auto client = make_client(target_, timeout_);
-    return convert_response(client.Get(path), address());
+    return convert_response(client->Get(path), address());
 }
 
 result<call_reply, call_error>
@@ -56,7 +58,7 @@
 {
     auto client = make_client(target_, timeout_);
     return convert_response(
-        client.Post(path, body.dump(), "application/json"), address());
+        client->Post(path, body.dump(), "application/json"), address());
 }
 
 std::string instance_client::address() const
--- a/apps/turmericlane/instance_client.h
+++ b/apps/turmericlane/instance_client.h
@@ -11,7 +11,7 @@
 namespace turmericlane
 {
 
-/** Error of a request to which no reply arrived. */
+/** Error of a request to which no valid reply arrived. */
 struct call_error
 {
     /** True if no byte of the request was sent. */
