--- a/tests/fuzz/answers_fuzzer.cpp
+++ b/tests/fuzz/answers_fuzzer.cpp
@@ -2,14 +2,19 @@
 
 #include <turmericlane_gateway/http/response_body.h>
 #include <turmericlane_gateway/searchers/answer_reader.h>
+#include <turmericlane_http/turmericlane_http.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "../../platform/wire_names.h"
 
-/** Answers of searchers: HTTP syntax, load, statements and classification. The
-    bytes arrive in two pieces, of which the first input byte gives the size. */
+#include <cstdlib>
+#include <optional>
+
+/** Answers of searchers: HTTP syntax, chunks, load, statements, classification.
+    The bytes arrive in two pieces, of which the first input byte gives the
+    size. */
 // libFuzzer calls a function of this name.
 // NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t n)
@@ -21,6 +26,17 @@
     static const auto names = platform::header_names();
     const auto text = turmericlane::fuzz::as_text(data + 1, n - 1);
     parse_load(text);
+    // As on a connection, a whole head is checked before the parser gets it.
+    std::optional<response_head> head;
+    const auto head_size = text.find(head_terminator);
+    if (head_size != std::string_view::npos)
+    {
+        const auto body_start = head_size + head_terminator.size();
+        head = parse_response_head(text.substr(0, body_start));
+        if (!head)
+            return 0;
+        chunk_checker().accept(text.substr(body_start));
+    }
     http::response_parser<response_body> parser;
     parser.eager(true);
     parser.body_limit(response_body::max_bytes);
@@ -47,6 +63,10 @@
     }
     if (!parser.is_header_done())
         return 0;
+    // Both readers see the same status and framing.
+    if (!head || parser.get().result_int() != head->status ||
+        parser.chunked() != (head->framing == body_framing::chunked))
+        std::abort();
     read_statement(parser.get().result_int(), parser.get(), names);
     if (!parser.is_done())
         return 0;
