docs: answers that are not HTTP

Reading the change again: one name says what the function finds, and the comment of response_stream names chunks.

--- a/modules/turmericlane_gateway/http/client_connection.cpp
+++ b/modules/turmericlane_gateway/http/client_connection.cpp
@@ -250,7 +250,7 @@
 {
     while (is_awaiting_response_ && !unparsed_bytes_.empty())
     {
-        if (is_head_refused())
+        if (has_invalid_head())
         {
             end(connection_end::malformed);
             return;
@@ -299,7 +299,7 @@
 }
 
 /** True if the bytes begin with a whole head that is not a response's. */
-bool client_connection::is_head_refused() const
+bool client_connection::has_invalid_head() const
 {
     // The parser takes in a head only as a whole.
     if (parser_->is_header_done())
--- a/modules/turmericlane_gateway/http/client_connection.h
+++ b/modules/turmericlane_gateway/http/client_connection.h
@@ -130,7 +130,7 @@
     void on_bytes_read(std::size_t size);
     void on_read_error(boost::system::error_code ec);
     void parse();
-    bool is_head_refused() const;
+    bool has_invalid_head() const;
     void deliver_response();
     void end(connection_end reason);
 
--- a/modules/turmericlane_http/response/response_head.cpp
+++ b/modules/turmericlane_http/response/response_head.cpp
@@ -59,6 +59,7 @@
     return line;
 }
 
+/** Returns the status in a line such as "HTTP/1.1 200 OK". */
 std::optional<unsigned> parse_status_line(std::string_view line)
 {
     const auto version = line.substr(0, version_size);
--- a/modules/turmericlane_net/http/response_stream.h
+++ b/modules/turmericlane_net/http/response_stream.h
@@ -14,11 +14,12 @@
 
     The library takes statuses of any three digits, skips lines that it does not
     understand, and then reads a body whose length it has skipped until the
-    connection ends. This stream checks the head before the library gets it, and
-    fails like a broken connection if it is not that of a response. It leaves
-   out interim responses. Not thread-safe.
+    connection ends. It also takes other bytes between two chunks for the end of
+    the body. This stream checks the head before the library gets it, and chunks
+    while they pass; if they are not valid, it fails like a broken connection.
+    Interim responses are left out. Not thread-safe.
 
-    @see parse_response_head
+    @see parse_response_head, chunk_checker
 */
 class response_stream final : public httplib::Stream
 {
