--- a/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
+++ b/modules/turmericlane_gateway/tests/broken_answer_tests.cpp
@@ -1,6 +1,10 @@
+#include "../peers/feed_body.h"
+#include "../peers/feed_puller.h"
 #include "gateway_fixture.h"
 #include "plain_caller.h"
 
+#include <turmericlane_wire/turmericlane_wire.h>
+
 #include <doctest/doctest.h>
 
 #include <regex>
@@ -169,6 +173,23 @@
     raw_connection broken_connection;
 };
 
+struct recording_pull_listener : pull_listener
+{
+    void pull_succeeded(const feed_message& message) override
+    {
+        revision = message.last_revision;
+        ++ended_count;
+    }
+
+    void pull_failed() override
+    {
+        ++ended_count;
+    }
+
+    std::uint64_t revision = 0;
+    std::size_t ended_count = 0;
+};
+
 } // namespace
 
 // Guards against a caller that gets an answer which is not HTTP.
@@ -320,3 +341,45 @@
     CHECK(field(answer->fields, "X-Parts") == "sig.s0");
     CHECK(field(answer->fields, "X-Missing") == "1");
 }
+
+// Guards against a copy of the store that is replaced because of bytes that are
+// not an answer.
+TEST_CASE("a peer's feed that is not HTTP is none")
+{
+    constexpr std::uint64_t revision = 7;
+    feed_message message;
+    message.last_revision = revision;
+    message_encoder encoder;
+    const auto encoded = encoder.encode({}, message);
+    const auto body = compress_body(
+        {reinterpret_cast<const char*>(encoded.payload.data()),
+         encoded.payload.size()});
+    const auto length =
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    event_context loop;
+    std::string head;
+    raw_searcher peer(
+        loop, "peer",
+        [&](const raw_connection& connection, const std::string&)
+        {
+            connection->write(head + body);
+            connection->close_after_writing();
+        });
+    const auto entry = peer.entry("s");
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const auto sound_head = ok + length;
+    for (const auto& it : std::vector<std::string>{
+             sound_head, "HTTP/1.1 000 Odd\r\n" + length,
+             ok + "X Odd: 1\r\n\r\n", ok + "X-Odd: 1\r\n odd\r\n\r\n",
+             ok + "X-Odd: 1\r\n Content-Length: 9999\r\n\r\n",
+             ok + "Transfer-Encoding: gzip\r\n\r\n"})
+    {
+        CAPTURE(it);
+        head = it;
+        recording_pull_listener listener;
+        feed_puller puller(loop, listener);
+        puller.pull({entry.address, entry.port, 0}, 0);
+        REQUIRE(run_until(loop, [&] { return listener.ended_count == 1; }));
+        CHECK(listener.revision == (it == sound_head ? revision : 0));
+    }
+}
