Split the sources of gateway and forward_engine by job

Cause: gateway.cpp (849 lines) and forward_engine.cpp (842 lines) hold several jobs each and were to grow. Change: the shutdown and the exchange with peers of a gateway, and the listing of open requests of a forward_engine, move to source files of their own. No statement changes.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <charconv>
 
 namespace turmericlane
 {
@@ -29,9 +28,6 @@
     outage lasts for seconds, and callers retry only once. */
 constexpr auto store_lost_retry_after = 1s;
 
-/** Number of instances that report recent departures to one that starts. */
-constexpr std::uint32_t departure_reporters = 3;
-
 } // namespace
 
 gateway::gateway(
@@ -112,20 +108,6 @@
     peers_.set_seeds(seeds);
 }
 
-void gateway::terminate()
-{
-    // The platform counts its grace from the sending of the signal.
-    if (!signal_time_)
-        signal_time_ = pauses_.earliest_signal_time(clock_.now());
-    shutdown_recorder_.on_signal(make_snapshot());
-    // A platform may repeat the signal; that is no reason to cut requests off.
-    if (shutdown_.phase() != shutdown_phase::serving)
-        return;
-    shutdown_.on_termination_signal(*signal_time_);
-    engine_.prepare_stop(shutdown_.stop_time());
-    schedule_wakeup();
-}
-
 bool gateway::is_ready() const
 {
     return routes_ && follower_ && follower_->is_complete() &&
@@ -549,114 +531,6 @@
         plan_service(it.name);
 }
 
-void gateway::member_changed(const member& value)
-{
-    members_changed_ = true;
-    log_.write_state(
-        gateway_event::member_changed,
-        {{"address", value.listen_endpoint.address},
-         {"state", to_string(value.state)},
-         {"incarnation", static_cast<std::int64_t>(value.incarnation)}});
-    // An instance that has just started learns what entries may not show yet;
-    // a few peers that tell it are enough.
-    if (value.state == member_state::live &&
-        store_position_ < departure_reporters)
-        peers_.report_departures(
-            value.listen_endpoint, departures_.recent(clock_.now()));
-}
-
-void gateway::peer_state_received(
-    const endpoint& peer, std::uint64_t nonce, const datagram_header& state)
-{
-    if (const auto sender = peers_.table().find_by_nonce(nonce))
-        directory_.on_peer_load(
-            nonce, state.busy_percent, sender->capacity, clock_.now());
-    if (!follower_)
-        return;
-    follower_->on_peer_state(
-        peer, state.complete_revision, state.confirmation_age);
-    schedule_wakeup();
-}
-
-void gateway::peer_feed_received(const feed_message& message)
-{
-    if (!follower_)
-        return;
-    follower_->on_feed(message);
-    schedule_wakeup();
-}
-
-void gateway::departure_reported(const departure_message& departure)
-{
-    registry_.on_departure_reported(
-        departure.searcher_id, departure.incarnation);
-}
-
-datagram_header gateway::own_state() const
-{
-    datagram_header header;
-    if (!follower_)
-        return header;
-    header.complete_revision = follower_->revision();
-    header.confirmation_age = follower_->age();
-    header.busy_percent = directory_.busy_percent();
-    return header;
-}
-
-void gateway::choose_instances()
-{
-    const auto is_serving = shutdown_.phase() == shutdown_phase::serving;
-    std::vector<member> live_members;
-    if (is_serving)
-        live_members.push_back(peers_.table().self());
-    for (auto& it : peers_.table().members())
-    {
-        if (it.state == member_state::live)
-            live_members.push_back(std::move(it));
-    }
-    const auto division = directory_.choose_instances(
-        std::move(live_members), registry_.count_by_data_centre(),
-        instance_count_.value(), clock_.now());
-    // A leaving instance keeps its share for the callers that still use it.
-    if (is_serving)
-        apply_division(division);
-}
-
-void gateway::apply_division(const fleet_division& division)
-{
-    if (division == division_)
-        return;
-    division_ = division;
-    engine_.set_instances(1.0 / own_share(division));
-    log_.write_state(
-        gateway_event::work_divided,
-        {{"instances", static_cast<std::int64_t>(division.instances)},
-         {"named", static_cast<std::int64_t>(division.named_instances)},
-         {"self_named", division.is_self_named},
-         {"busy_percent",
-          static_cast<std::int64_t>(directory_.busy_percent())}});
-    plan_services();
-}
-
-api_answer gateway::answer_peer_request(const caller_request& request)
-{
-    if (request.path() != feed_path)
-        return {200, "text/plain; version=0.0.4", metrics_text()};
-    const auto text = request.parameter("after");
-    std::uint64_t revision = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [position, ec] = std::from_chars(text.data(), end, revision);
-    if (ec != std::errc() || position != end)
-        return {400, {}, {}};
-    if (!follower_ || !follower_->is_complete())
-        return {503, {}, {}};
-    const auto& body =
-        feed_cache_.body(*follower_, peers_, revision, clock_.now());
-    if (body.empty())
-        return {503, {}, {}};
-    return {200, "application/octet-stream", body};
-}
-
 void gateway::process_paused(duration gap)
 {
     log_.write_state(
@@ -681,114 +555,6 @@
         choose_instances();
 }
 
-void gateway::update_store_place()
-{
-    if (!follower_)
-        return;
-    members_changed_ = false;
-    std::uint32_t place = 0;
-    std::uint32_t live_count = 1;
-    for (const auto& it : peers_.table().members())
-    {
-        if (it.state != member_state::live)
-            continue;
-        ++live_count;
-        place += it.nonce < settings_.nonce ? 1 : 0;
-    }
-    store_position_ = place;
-    follower_->set_position(
-        place, live_count, settings_.store_calls_per_second);
-}
-
-void gateway::leave()
-{
-    shutdown_recorder_.on_phase(make_snapshot());
-    peers_.leave();
-    choose_instances();
-}
-
-void gateway::drain()
-{
-    shutdown_recorder_.on_phase(make_snapshot());
-    listener_.close_idle();
-}
-
-bool gateway::is_draining() const
-{
-    return shutdown_.phase() == shutdown_phase::draining ||
-           shutdown_.phase() == shutdown_phase::stopped;
-}
-
-void gateway::finish_drain()
-{
-    if (pending_requests_.empty())
-    {
-        // Callers with old addresses would otherwise keep the instance busy
-        // with refusals until its time is up, and the last ones would be cut
-        // off.
-        listener_.stop();
-        listener_.close_idle();
-    }
-    // The session of a pending request is busy.
-    shutdown_.on_in_flight_count(listener_.busy_count());
-}
-
-void gateway::stop(std::size_t)
-{
-    constexpr auto max_listed = shutdown_recorder::max_listed_requests;
-    const auto pending = pending_requests_.size();
-    shutdown_recorder_.on_stop(
-        make_snapshot(), pending,
-        pending > max_listed ? pending - max_listed : 0);
-    record_open_requests();
-    log_.flush();
-    recorder_.expect_last_connections(max_listed);
-    listener_.stop();
-    listener_.close_idle();
-    engine_.stop();
-    loop_end_ = clock_.now() + last_answers_time(settings_);
-    finish_stop();
-}
-
-void gateway::finish_stop()
-{
-    if (listener_.busy_count() > 0 && clock_.now() < loop_end_)
-        return;
-    listener_.report_process_end();
-    shutdown_recorder_.on_loop_end(make_snapshot());
-    log_.flush();
-    loop_.stop();
-}
-
-shutdown_snapshot gateway::make_snapshot() const
-{
-    shutdown_snapshot snapshot;
-    snapshot.phase = to_string(shutdown_.phase());
-    if (signal_time_)
-        snapshot.since_signal = clock_.now() - *signal_time_;
-    snapshot.pending = pending_requests_.size();
-    snapshot.sessions = listener_.count_sessions();
-    snapshot.loop_lag = lag_;
-    return snapshot;
-}
-
-void gateway::record_open_requests()
-{
-    const auto since_signal =
-        signal_time_ ? clock_.now() - *signal_time_ : duration::zero();
-    for (const auto& it :
-         engine_.open_requests(shutdown_recorder::max_listed_requests))
-    {
-        const auto position = pending_requests_.find(it.id);
-        if (position == pending_requests_.end())
-            continue;
-        position->second.is_listed = true;
-        shutdown_recorder_.on_open_request(
-            it, position->second.outgoing.id, position->second.route_name,
-            since_signal);
-    }
-}
-
 void gateway::sweep()
 {
     const auto now = clock_.now();
