Evacuation of a data centre by an order in the store

Change: the adapter decodes the key, searcher_registry withholds the searchers of evacuated data centres from everything that selects or counts searchers, and waiting sub-requests without any searcher left fail at once. Events 6107 and 6108, a metric, a design note.

--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -245,6 +245,29 @@
     dispatch_waiting(service);
 }
 
+void forward_engine::on_searchers_lost()
+{
+    std::vector<waiting_part> lost_parts;
+    for (auto& [service, ranks] : queues_)
+    {
+        if (!searchers_.service_searchers(service).empty())
+            continue;
+        for (const auto& [rank, parts] : ranks)
+            lost_parts.insert(lost_parts.end(), parts.begin(), parts.end());
+        ranks.clear();
+    }
+    for (const auto& it : lost_parts)
+    {
+        const auto match = requests_.find(it.request);
+        if (match == requests_.end() ||
+            match->second.parts[it.part_index].state != part_state::waiting)
+            continue;
+        fail_part(match->second, it.part_index);
+        if (!try_finish(match->second))
+            schedule_check(match->second);
+    }
+}
+
 void forward_engine::on_lag(duration lag)
 {
     lag_ = lag;
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -93,6 +93,10 @@
         before. */
     void on_capacity_available(const std::string& service);
 
+    /** Call when services have lost searchers that will not be back soon. The
+        sub-requests that wait for a service without any searcher fail. */
+    void on_searchers_lost();
+
     /** Sets for how long work waits for the processor at present. */
     void on_lag(duration lag);
 
--- a/modules/turmericlane_forwarding/searchers/searcher_registry.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.cpp
@@ -12,6 +12,9 @@
     ago no longer runs. */
 constexpr std::size_t max_remembered_departures = 8192;
 
+constexpr std::string_view draining_reason = "draining";
+constexpr std::string_view evacuated_reason = "evacuated";
+
 } // namespace
 
 searcher_registry::searcher_registry(
@@ -32,8 +35,7 @@
     {
         auto added_searcher = std::make_shared<searcher>(entry, clock_.now());
         searchers_by_id_.emplace(entry.id, added_searcher);
-        if (!added_searcher->is_leaving())
-            add_to_service(added_searcher);
+        update_use(added_searcher, draining_reason);
         return;
     }
     auto current = match->second;
@@ -47,17 +49,14 @@
     {
         // Connections and attempts of the former process still own the old
         // searcher object, so that its statistics stay separate.
-        remove_from_service(current, "replaced");
+        retire(current, "replaced");
         searchers_by_id_.erase(match);
         on_entry(entry);
         return;
     }
-    const auto was_leaving = current->is_leaving();
     current->update(entry, clock_.now());
-    if (!was_leaving && current->is_leaving())
-        remove_from_service(current, "draining");
-    else if (was_leaving && !current->is_leaving())
-        add_to_service(current);
+    update_use(
+        current, current->is_leaving() ? draining_reason : evacuated_reason);
 }
 
 void searcher_registry::on_removed(const std::string& id)
@@ -98,8 +97,7 @@
     auto entry = current->entry();
     entry.is_draining = true;
     current->update(std::move(entry), clock_.now());
-    if (!was_leaving)
-        remove_from_service(current, "departing");
+    update_use(current, "departing");
     return !was_leaving;
 }
 
@@ -119,6 +117,35 @@
     remove(id, "address serves another searcher");
 }
 
+bool searcher_registry::on_evacuation(
+    const std::string& data_centre, bool is_active)
+{
+    const auto is_changed =
+        is_active ? evacuated_data_centres_.insert(data_centre).second
+                  : evacuated_data_centres_.erase(data_centre) > 0;
+    if (!is_changed)
+        return false;
+    for (const auto& [id, target] : searchers_by_id_)
+    {
+        if (target->entry().data_centre == data_centre)
+            update_use(target, evacuated_reason);
+    }
+    return true;
+}
+
+bool searcher_registry::is_evacuated(const searcher& target) const
+{
+    return evacuated_data_centres_.contains(target.entry().data_centre);
+}
+
+std::size_t searcher_registry::count_in(std::string_view data_centre) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        searchers_by_id_.begin(), searchers_by_id_.end(),
+        [data_centre](const auto& it)
+        { return it.second->entry().data_centre == data_centre; }));
+}
+
 void searcher_registry::on_timer()
 {
     if (clock_.now() < next_wakeup())
@@ -188,24 +215,33 @@
         return;
     const auto target = match->second;
     searchers_by_id_.erase(match);
-    remove_from_service(target, reason);
+    retire(target, reason);
 }
 
-void searcher_registry::add_to_service(const std::shared_ptr<searcher>& target)
+void searcher_registry::update_use(
+    const std::shared_ptr<searcher>& target, std::string_view reason)
 {
-    searchers_by_service_[target->entry().service].push_back(target);
-    listener_.searcher_added(target);
+    auto& replicas = searchers_by_service_[target->entry().service];
+    const auto position = std::find(replicas.begin(), replicas.end(), target);
+    const auto is_used = position != replicas.end();
+    const auto is_usable = !target->is_leaving() && !is_evacuated(*target);
+    if (is_used == is_usable)
+        return;
+    if (is_usable)
+    {
+        replicas.push_back(target);
+        listener_.searcher_added(target);
+        return;
+    }
+    replicas.erase(position);
+    listener_.searcher_leaving(target, reason);
 }
 
-void searcher_registry::remove_from_service(
+void searcher_registry::retire(
     const std::shared_ptr<searcher>& target, std::string_view reason)
 {
     target->remove();
-    for (auto& [service, replicas] : searchers_by_service_)
-    {
-        if (std::erase(replicas, target) > 0)
-            listener_.searcher_leaving(target, reason);
-    }
+    update_use(target, reason);
 }
 
 } // namespace turmericlane
--- a/modules/turmericlane_forwarding/searchers/searcher_registry.h
+++ b/modules/turmericlane_forwarding/searchers/searcher_registry.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -26,8 +26,8 @@
     virtual void
     searcher_added(const std::shared_ptr<searcher>& changed_searcher) = 0;
 
-    /** A searcher must not get new requests any more: it is draining, or its
-        entry was removed.
+    /** A searcher must not get new requests any more: it is draining, its
+        entry was removed, or its data centre is evacuated.
         @param reason  short text for the log */
     virtual void searcher_leaving(
         const std::shared_ptr<searcher>& changed_searcher,
@@ -44,6 +44,9 @@
     A searcher that said in an answer that it is leaving stays out of use even
     if its entry says otherwise: the store may lag or be down.
 
+    While a data centre is evacuated, its searchers get no new requests, but
+    their entries are followed, so that they are available again at once.
+
     Decision code without input or output. Not thread-safe.
 
     @see searcher
@@ -83,6 +86,25 @@
     /** Call when another searcher answers at the address of a searcher. */
     void on_misdirected(const std::string& id);
 
+    /** Call when operators ordered the evacuation of a data centre, or ended
+        it. An order may precede the searchers that it concerns, and repeated
+        orders have no effect.
+        @returns true if the state of the data centre changed */
+    bool on_evacuation(const std::string& data_centre, bool is_active);
+
+    /** True if the searcher's data centre is evacuated. */
+    bool is_evacuated(const searcher& target) const;
+
+    /** Returns the evacuated data centres. */
+    const std::set<std::string>& evacuated_data_centres() const noexcept
+    {
+        return evacuated_data_centres_;
+    }
+
+    /** Returns the number of searchers in a data centre, including leaving and
+        evacuated ones. */
+    std::size_t count_in(std::string_view data_centre) const;
+
     /** Call at or after next_wakeup(). */
     void on_timer();
 
@@ -112,15 +134,21 @@
     bool has_departed(const std::string& id, std::uint64_t incarnation) const;
     void remember_departure(const std::string& id, std::uint64_t incarnation);
     void remove(const std::string& id, std::string_view reason);
-    void add_to_service(const std::shared_ptr<searcher>& target);
-    void remove_from_service(
+    /** Adds the searcher to its service if it may get new requests, and
+        removes it otherwise.
+        @param reason  for the listener, if it is removed */
+    void update_use(
         const std::shared_ptr<searcher>& target, std::string_view reason);
+    /** Removes the searcher for good. */
+    void
+    retire(const std::shared_ptr<searcher>& target, std::string_view reason);
 
     const clock& clock_;
     searcher_listener& listener_;
     std::unordered_map<std::string, std::shared_ptr<searcher>> searchers_by_id_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<searcher>>>
         searchers_by_service_;
+    std::set<std::string> evacuated_data_centres_;
     time_point removal_deferral_end_{};
     /** Ids of the searchers whose removal is deferred. */
     std::vector<std::string> deferred_removals_;
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -130,6 +130,8 @@
         static_cast<double>(configuration_version()));
     metrics_.instances.set(instance_count_.value());
     metrics_.searchers.set(static_cast<double>(registry_.size()));
+    metrics_.evacuated_data_centres.set(
+        static_cast<double>(registry_.evacuated_data_centres().size()));
     metrics_.searcher_connections.set(
         static_cast<double>(pool_.connection_count()));
     metrics_.searcher_connections_opened.set(
@@ -166,6 +168,8 @@
         registry_.on_entry(*entry);
     else if (const auto* removal = std::get_if<searcher_removal>(&*change))
         registry_.on_removed(removal->id);
+    else if (const auto* order = std::get_if<evacuation_order>(&*change))
+        apply_evacuation(*order);
 }
 
 void gateway::store_complete()
@@ -503,6 +507,22 @@
     plan_services();
 }
 
+void gateway::apply_evacuation(const evacuation_order& order)
+{
+    if (!registry_.on_evacuation(order.data_centre, order.is_active))
+        return;
+    log_.write_state(
+        order.is_active ? gateway_event::evacuation_started
+                        : gateway_event::evacuation_ended,
+        {{"data_centre", order.data_centre},
+         {"searchers",
+          static_cast<std::int64_t>(registry_.count_in(order.data_centre))}});
+    // The searchers near the instances decide which of these callers are given.
+    choose_instances();
+    if (order.is_active)
+        engine_.on_searchers_lost();
+}
+
 void gateway::plan_service(const std::string& service)
 {
     const auto limit =
@@ -570,7 +590,7 @@
     registry_.for_each(
         [this, now](const auto& it)
         {
-            if (it->is_probe_due(now))
+            if (it->is_probe_due(now) && !registry_.is_evacuated(*it))
                 pool_.probe(it);
         });
     directory_.measure(now);
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -183,6 +183,7 @@
     void unmatched_answer_dropped(
         const std::shared_ptr<searcher>& target, bool has_id) override;
     void apply_configuration(route_configuration&& configuration);
+    void apply_evacuation(const evacuation_order& order);
     void plan_service(const std::string& service);
     void plan_services();
 
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -31,6 +31,9 @@
           "turmericlane_instances", "Live instances, including this one."))
     , searchers(
           registry->gauge_of("turmericlane_searchers", "Known searchers."))
+    , evacuated_data_centres(registry->gauge_of(
+          "turmericlane_evacuated_data_centres",
+          "Data centres that operators have evacuated."))
     , searcher_connections(registry->gauge_of(
           "turmericlane_searcher_connections", "Connections to searchers."))
     , searcher_connections_opened(registry->gauge_of(
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.h
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.h
@@ -47,6 +47,7 @@
     gauge& configuration_version;
     gauge& instances;
     gauge& searchers;
+    gauge& evacuated_data_centres;
     gauge& searcher_connections;
     gauge& searcher_connections_opened;
     gauge& store_age_seconds;
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -40,6 +40,8 @@
     {gateway_event::store_returned, "store_returned"},
     {gateway_event::store_complete, "store_complete"},
     {gateway_event::entry_ignored, "entry_ignored"},
+    {gateway_event::evacuation_started, "evacuation_started"},
+    {gateway_event::evacuation_ended, "evacuation_ended"},
     {gateway_event::searcher_added, "searcher_added"},
     {gateway_event::searcher_leaving, "searcher_leaving"},
     {gateway_event::searcher_quiet, "searcher_quiet"},
--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -37,6 +37,8 @@
     store_returned = 6104,
     store_complete = 6105,
     entry_ignored = 6106,
+    evacuation_started = 6107,
+    evacuation_ended = 6108,
     searcher_added = 6201,
     searcher_leaving = 6202,
     searcher_quiet = 6203,
