Routes with home regions are served only there

The settings name the region of each data centre. Callers of such hosts are given instances in their own or in a home region first.

--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -30,14 +30,6 @@
 constexpr auto surplus_attempt_time = 400ms;
 /** Interval at which a retry that the budget did not allow is tried again. */
 constexpr auto budget_recheck_interval = 15ms;
-/** A replaced searcher publishes its entry within about this time. */
-constexpr auto republication_delay = 300ms;
-/** Time from opening a connection to an ejected searcher until it can be
-    used. */
-constexpr auto probe_duration = 60ms;
-/** Random addition to the time until searchers want requests again, as a share
-    of that time: callers that return together would fill them at once. */
-constexpr double return_spread = 0.25;
 /** Share of the target for which a request may be admitted although it has to
     wait for a searcher that wants no requests at present. */
 constexpr double admitted_quiet_share = 0.25;
@@ -113,8 +105,8 @@
     , actions_(actions)
     , listener_(listener)
     , selector_(settings.data_centre, settings.seed)
+    , availability_(time, searchers, settings.regions, settings.seed)
     , budget_(settings.extra_attempts, time)
-    , random_(settings.seed)
 {
 }
 
@@ -304,7 +296,7 @@
             parts_ahead += parts.size();
     }
     std::size_t capacity = 0;
-    for (const auto& it : searchers_.service_searchers(service))
+    for (const auto& it : availability_.candidates(matched_route, service))
         capacity += it->max_in_flight();
     return timings_[matched_route.name].median_latency() * parts_ahead /
            std::max<std::size_t>(capacity, 1);
@@ -355,14 +347,15 @@
     const auto latest =
         clock_.now() +
         scale(matched_route.target_latency, admitted_quiet_share);
-    const auto usable_count = matched_route.is_gathered()
-                                  ? count_usable_shards(matched_route, latest)
-                                  : usable_time(*service) <= latest;
+    const auto usable_count =
+        matched_route.is_gathered()
+            ? availability_.count_usable_shards(matched_route, latest)
+            : availability_.usable_time(matched_route, *service) <= latest;
     if (static_cast<double>(usable_count) < needed_count)
     {
         refuse(
             request, forward_failure::no_searcher,
-            time_until_searcher(matched_route, service));
+            availability_.time_until_searcher(matched_route, service));
         return true;
     }
     instance_load load;
@@ -383,63 +376,6 @@
     return true;
 }
 
-std::size_t forward_engine::count_usable_shards(
-    const route& matched_route, time_point latest) const
-{
-    return static_cast<std::size_t>(std::count_if(
-        matched_route.shards.begin(), matched_route.shards.end(),
-        [&](const std::string& it) { return usable_time(it) <= latest; }));
-}
-
-time_point forward_engine::usable_time(const std::string& service) const
-{
-    auto result = time_point::max();
-    for (const auto& it : searchers_.service_searchers(service))
-    {
-        if (!it->is_ejected())
-            result = std::min(result, it->quiet_end());
-    }
-    return result;
-}
-
-bool forward_engine::is_usable(const std::string& service) const
-{
-    return usable_time(service) <= clock_.now();
-}
-
-duration forward_engine::time_until_searcher(
-    const route& matched_route, const std::string* service)
-{
-    const auto now = clock_.now();
-    const auto earliest_use = [&](const std::string& name)
-    {
-        const auto replicas = searchers_.service_searchers(name);
-        auto result = time_point::max();
-        auto are_all_quiet = !replicas.empty();
-        for (const auto& it : replicas)
-        {
-            const auto reachable_time =
-                it->is_ejected() ? it->next_probe_time() + probe_duration : now;
-            result =
-                std::min(result, std::max(reachable_time, it->quiet_end()));
-            are_all_quiet = are_all_quiet && it->is_quiet(now);
-        }
-        return are_all_quiet ? result
-                             : std::min(result, now + republication_delay);
-    };
-    auto latest_use = now + probe_duration;
-    if (service != nullptr)
-        latest_use = std::max(latest_use, earliest_use(*service));
-    // All shards without a usable searcher must be back.
-    for (const auto& it : matched_route.shards)
-    {
-        if (!is_usable(it))
-            latest_use = std::max(latest_use, earliest_use(it));
-    }
-    std::uniform_real_distribution<double> addition(0.0, return_spread);
-    return scale(latest_use - now, 1.0 + addition(random_));
-}
-
 time_point forward_engine::latest_start(const request_state& state) const
 {
     // While nothing has run, a caller that is told when to come back is better
@@ -451,10 +387,18 @@
            std::max<duration>(state.timing->median_latency(), min_useful_time);
 }
 
+bool forward_engine::is_usable(
+    const request_state& state, const request_part& part) const
+{
+    return availability_.usable_time(
+               *state.request.matched_route, *part.service) <= clock_.now();
+}
+
 bool forward_engine::is_unserved(
     const request_state& state, const request_part& part) const
 {
-    const auto start = usable_time(*part.service);
+    const auto start =
+        availability_.usable_time(*state.request.matched_route, *part.service);
     return start != time_point::max() && start > clock_.now() &&
            start > latest_start(state);
 }
@@ -462,13 +406,13 @@
 void forward_engine::dispatch(request_state& state, std::size_t part_index)
 {
     auto& part = state.parts[part_index];
-    if (is_part_dispensable(state) && !is_usable(*part.service))
+    if (is_part_dispensable(state) && !is_usable(state, part))
     {
         // The answer need not wait for a shard that is known to be down.
         fail_part(state, part_index);
         return;
     }
-    const auto selection = select_searcher(part);
+    const auto selection = select_searcher(state, part);
     if (selection.result == replica_selector::outcome::none ||
         (selection.result == replica_selector::outcome::busy &&
          is_unserved(state, part)))
@@ -486,10 +430,11 @@
     send(state, part_index, selection.target);
 }
 
-replica_selector::selection
-forward_engine::select_searcher(const request_part& part)
+replica_selector::selection forward_engine::select_searcher(
+    const request_state& state, const request_part& part)
 {
-    const auto replicas = searchers_.service_searchers(*part.service);
+    const auto replicas =
+        availability_.candidates(*state.request.matched_route, *part.service);
     replica_selector::attempt_needs needs;
     needs.tried_searchers = part.tried_searchers;
     auto selection = selector_.choose(replicas, needs, clock_.now());
@@ -618,7 +563,8 @@
     needs.tried_searchers = part.tried_searchers;
     needs.requires_idle = true;
     const auto selection = selector_.choose(
-        searchers_.service_searchers(*part.service), needs, clock_.now());
+        availability_.candidates(*state.request.matched_route, *part.service),
+        needs, clock_.now());
     if (!selection.target || !budget_.try_take_hedge(*part.service))
         return;
     listener_.extra_attempt_started(state.request, *part.service, true);
@@ -672,8 +618,10 @@
     {
         if (it.state == part_state::postponed)
             next_check = std::min(next_check, now + budget_recheck_interval);
-        if (it.state == part_state::waiting && !is_usable(*it.service))
-            next_check = std::min(next_check, usable_time(*it.service));
+        if (it.state == part_state::waiting && !is_usable(state, it))
+            next_check = std::min(
+                next_check, availability_.usable_time(
+                                *state.request.matched_route, *it.service));
         if (it.state != part_state::running || it.running_attempts != 1 ||
             !allows_extra_attempt(state, it))
             continue;
@@ -745,7 +693,8 @@
         const auto* const service =
             matched_route.is_gathered() ? nullptr : state.parts.front().service;
         result.retry_after = std::max(
-            result.retry_after, time_until_searcher(matched_route, service));
+            result.retry_after,
+            availability_.time_until_searcher(matched_route, service));
     }
     const auto ended_request = requests_.extract(state.request.id);
     release_attempts(state, failure == forward_failure::deadline);
@@ -787,13 +736,14 @@
                 continue;
             }
             const auto& part = it->second.parts[next_part.part_index];
-            const auto selection = select_searcher(part);
-            if (!selection.target && part.tried_searchers.empty())
+            const auto selection = select_searcher(it->second, part);
+            if (!selection.target && part.tried_searchers.empty() &&
+                it->second.request.matched_route->home_regions.empty())
                 return;
             if (!selection.target)
             {
-                // A searcher that this sub-request may not use again may
-                // suit the next one.
+                // A searcher that this sub-request may not use, or not again,
+                // may suit the next one.
                 ++position;
                 continue;
             }
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -6,7 +6,7 @@
 #include "../attempts/hedge_timing.h"
 #include "../gather/answer_rule.h"
 #include "../searchers/replica_selector.h"
-#include "../searchers/searcher_registry.h"
+#include "../searchers/searcher_availability.h"
 #include "forward_request.h"
 #include "open_request.h"
 #include "request_state.h"
@@ -15,7 +15,6 @@
 
 #include <deque>
 #include <map>
-#include <random>
 
 namespace turmericlane
 {
@@ -28,6 +27,8 @@
     /** Seed of the random choice among replicas. */
     std::uint64_t seed = 0;
     extra_attempt_limits extra_attempts;
+    /** Region of each data centre. */
+    region_map regions;
 };
 
 /** Receives events of requests, for logs and metrics. */
@@ -169,20 +170,10 @@
         const forward_request& request,
         forward_failure failure,
         duration retry_after);
-    std::size_t
-    count_usable_shards(const route& matched_route, time_point latest) const;
     /** True if the request can be answered even if one more part fails. */
     bool is_part_dispensable(const request_state& state) const;
-    /** Returns the earliest time at which a searcher of the service that is not
-        ejected wants requests; time_point::max() if all are ejected. */
-    time_point usable_time(const std::string& service) const;
-    /** True if the service has a usable searcher now. */
-    bool is_usable(const std::string& service) const;
-    /** Returns the expected time until every service that a request needs has
-        a usable searcher again, with a random addition that spreads the
-        callers' return. */
-    duration
-    time_until_searcher(const route& matched_route, const std::string* service);
+    /** True if a searcher that may serve the sub-request is usable now. */
+    bool is_usable(const request_state& state, const request_part& part) const;
     /** Returns how long a sub-request may wait for a searcher that wants no
         requests at present. */
     time_point latest_start(const request_state& state) const;
@@ -193,7 +184,8 @@
     void dispatch(request_state& state, std::size_t part_index);
     /** Selects a searcher for a sub-request; one that was tried before if there
         is no other. */
-    replica_selector::selection select_searcher(const request_part& part);
+    replica_selector::selection
+    select_searcher(const request_state& state, const request_part& part);
     void send(
         request_state& state,
         std::size_t part_index,
@@ -226,6 +218,7 @@
     forward_actions& actions_;
     forward_listener& listener_;
     replica_selector selector_;
+    searcher_availability availability_;
     extra_attempt_budget budget_;
     admission_control admission_;
     std::unordered_map<std::string, hedge_timing> timings_;
@@ -237,7 +230,6 @@
     /** When this instance ends, if it is known. */
     time_point end_time_ = time_point::max();
     duration lag_{};
-    std::mt19937_64 random_;
 };
 
 } // namespace turmericlane
--- a/modules/turmericlane_forwarding/model/route_configuration.h
+++ b/modules/turmericlane_forwarding/model/route_configuration.h
@@ -52,6 +52,8 @@
     /** Share of the shards whose answers a merged answer must include, 0 to
         1. */
     double min_coverage = 1.0;
+    /** Regions in which requests may be served; empty for all. */
+    std::vector<std::string> home_regions;
 
     /** True if an answer is merged from the answers of several shards. */
     bool is_gathered() const noexcept
--- a/modules/turmericlane_forwarding/routing/route_table.cpp
+++ b/modules/turmericlane_forwarding/routing/route_table.cpp
@@ -27,7 +27,14 @@
 {
     for (const auto& it : configuration_.routes)
     {
-        routes_by_host_[lower_case(it.host)].push_back(&it);
+        const auto host = lower_case(it.host);
+        routes_by_host_[host].push_back(&it);
+        if (!it.home_regions.empty())
+        {
+            auto& regions = home_regions_by_host_[host];
+            regions.insert(
+                regions.end(), it.home_regions.begin(), it.home_regions.end());
+        }
         if (it.services.size() > 1)
             splits_.emplace(&it, weighted_split(it.services, phase));
     }
@@ -54,6 +61,15 @@
     return nullptr;
 }
 
+std::span<const std::string>
+route_table::home_regions(std::string_view host) const
+{
+    const auto match = home_regions_by_host_.find(lower_case(host));
+    if (match == home_regions_by_host_.end())
+        return {};
+    return match->second;
+}
+
 const std::string& route_table::next_service(const route& matched_route)
 {
     assert(!matched_route.services.empty());
--- a/modules/turmericlane_forwarding/routing/route_table.h
+++ b/modules/turmericlane_forwarding/routing/route_table.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 
@@ -40,6 +41,10 @@
         @param path  path of the request, without the query */
     const route* find(std::string_view host, std::string_view path) const;
 
+    /** Returns the home regions of the routes of a host; empty if none of them
+        has any. */
+    std::span<const std::string> home_regions(std::string_view host) const;
+
     /** Selects the service for the next request of a route without shards. */
     const std::string& next_service(const route& matched_route);
 
@@ -52,6 +57,8 @@
     route_configuration configuration_;
     /** By host in lower case; longest prefix first. */
     std::unordered_map<std::string, std::vector<const route*>> routes_by_host_;
+    std::unordered_map<std::string, std::vector<std::string>>
+        home_regions_by_host_;
     std::unordered_map<std::string, std::uint32_t> max_connections_;
     std::unordered_map<const route*, weighted_split> splits_;
 };
--- a/modules/turmericlane_forwarding/tests/engine_simulation.cpp
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.cpp
@@ -7,9 +7,15 @@
 
 using namespace std::chrono_literals;
 
-engine_simulation::engine_simulation(extra_attempt_limits limits)
+engine_simulation::engine_simulation(
+    extra_attempt_limits limits, region_map regions)
     : registry(time, *this)
-    , engine({"north", 7, limits}, time, registry, *this, *this)
+    , engine(
+          {"north", 7, limits, std::move(regions)},
+          time,
+          registry,
+          *this,
+          *this)
 {
     engine.set_instances(1);
     // The budget is smaller in its first window.
--- a/modules/turmericlane_forwarding/tests/engine_simulation.h
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.h
@@ -38,7 +38,8 @@
         time_point sent_time;
     };
 
-    explicit engine_simulation(extra_attempt_limits limits = {0.2, 54.0});
+    explicit engine_simulation(
+        extra_attempt_limits limits = {0.2, 54.0}, region_map regions = {});
 
     /** Adds a searcher with room for eight requests in flight. */
     std::shared_ptr<searcher>
--- a/modules/turmericlane_gateway/gateway/caller_directory.cpp
+++ b/modules/turmericlane_gateway/gateway/caller_directory.cpp
@@ -26,6 +26,15 @@
     one. */
 constexpr auto unsettled_lifetime = 1s;
 
+std::vector<endpoint> endpoints_of(std::span<const member> members)
+{
+    std::vector<endpoint> endpoints;
+    endpoints.reserve(members.size());
+    for (const auto& it : members)
+        endpoints.push_back(it.listen_endpoint);
+    return endpoints;
+}
+
 } // namespace
 
 caller_directory::caller_directory(const member& self)
@@ -73,23 +82,21 @@
         fleet_size_ = known_count;
         last_resize_ = now;
     }
-    const auto chosen_members =
+    live_members_ = live_members;
+    named_members_ =
         placement_.choose(std::move(live_members), searchers_nearby, now);
-    named_endpoints_.clear();
-    for (const auto& it : chosen_members)
-        named_endpoints_.push_back(it.listen_endpoint);
     fleet_division division;
     division.is_self_named = std::any_of(
-        chosen_members.begin(), chosen_members.end(),
+        named_members_.begin(), named_members_.end(),
         [this](const member& it) { return it.nonce == nonce_; });
     // If every known instance is named, those that may be running but are not
     // known count as named, too.
     const auto are_all_named =
-        chosen_members.size() == known_count && division.is_self_named;
+        named_members_.size() == known_count && division.is_self_named;
     division.named_instances =
         are_all_named ? instances
                       : std::clamp(
-                            static_cast<std::uint32_t>(chosen_members.size()),
+                            static_cast<std::uint32_t>(named_members_.size()),
                             1U, instances);
     division.instances = std::max(
         instances, division.named_instances + (division.is_self_named ? 0 : 1));
@@ -106,9 +113,33 @@
 
 std::vector<endpoint> caller_directory::addresses(std::size_t max_count)
 {
-    auto endpoints = named_endpoints_;
+    auto endpoints = endpoints_of(named_members_);
     if (endpoints.empty())
         endpoints.push_back(self_);
+    return rotate(std::move(endpoints), max_count);
+}
+
+std::vector<endpoint> caller_directory::addresses(
+    std::size_t max_count,
+    const std::function<bool(const std::string&)>& is_preferred)
+{
+    for (const auto* members : {&named_members_, &live_members_})
+    {
+        std::vector<member> preferred_members;
+        std::copy_if(
+            members->begin(), members->end(),
+            std::back_inserter(preferred_members),
+            [&is_preferred](const member& it)
+            { return is_preferred(it.data_centre); });
+        if (!preferred_members.empty())
+            return rotate(endpoints_of(preferred_members), max_count);
+    }
+    return addresses(max_count);
+}
+
+std::vector<endpoint>
+caller_directory::rotate(std::vector<endpoint> endpoints, std::size_t max_count)
+{
     if (endpoints.size() <= max_count)
         return endpoints;
     // Successive answers start at different endpoints.
--- a/modules/turmericlane_gateway/gateway/caller_directory.h
+++ b/modules/turmericlane_gateway/gateway/caller_directory.h
@@ -2,6 +2,7 @@
 
 #include "work_meter.h"
 
+#include <functional>
 #include <turmericlane_forwarding/turmericlane_forwarding.h>
 #include <turmericlane_state/turmericlane_state.h>
 
@@ -66,6 +67,15 @@
         @param max_count  largest number of addresses */
     std::vector<endpoint> addresses(std::size_t max_count);
 
+    /** Returns the addresses of instances in data centres that are preferred
+        for a caller: chosen instances if there are any, else other live ones,
+        and those of addresses() if there are none.
+        @param max_count     largest number of addresses
+        @param is_preferred  true for the name of a preferred data centre */
+    std::vector<endpoint> addresses(
+        std::size_t max_count,
+        const std::function<bool(const std::string&)>& is_preferred);
+
     /** Returns how long callers may use the addresses. The time is shorter
         while the number of known instances changes a lot: the addresses are
         then chosen from a part of the fleet and differ between instances.
@@ -79,12 +89,18 @@
     }
 
 private:
+    /** Returns up to max_count endpoints; successive calls start at different
+        ones. */
+    std::vector<endpoint>
+    rotate(std::vector<endpoint> endpoints, std::size_t max_count);
+
     endpoint self_;
     std::uint64_t nonce_;
     std::uint32_t capacity_;
     work_meter meter_;
     caller_placement placement_;
-    std::vector<endpoint> named_endpoints_;
+    std::vector<member> live_members_;
+    std::vector<member> named_members_;
     time_point last_choice_{};
     /** Number of live instances known when it last changed a lot. */
     std::size_t fleet_size_ = 0;
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -45,7 +45,8 @@
     , response_memory_(max_response_bytes(settings_))
     , pool_(loop, time, settings_.names, response_memory_, *this)
     , engine_(
-          {settings_.data_centre, settings_.nonce, settings_.repeats},
+          {settings_.data_centre, settings_.nonce, settings_.repeats,
+           settings_.regions},
           time,
           registry_,
           *this,
@@ -119,6 +120,24 @@
     return directory_.addresses(max_count);
 }
 
+std::vector<endpoint> gateway::usable_instances(
+    std::string_view host, std::string_view region, std::size_t max_count)
+{
+    const auto homes =
+        routes_ ? routes_->home_regions(host) : std::span<const std::string>();
+    if (homes.empty())
+        return usable_instances(max_count);
+    return directory_.addresses(
+        max_count,
+        [&](const std::string& data_centre)
+        {
+            const auto& it = settings_.regions.region_of(data_centre);
+            return !it.empty() &&
+                   (it == region ||
+                    std::find(homes.begin(), homes.end(), it) != homes.end());
+        });
+}
+
 duration gateway::address_lifetime(duration max_lifetime) const
 {
     return directory_.address_lifetime(max_lifetime, clock_.now());
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -98,6 +98,13 @@
         @param max_count  largest number of addresses */
     std::vector<endpoint> usable_instances(std::size_t max_count);
 
+    /** The same for the requests of a caller to a host. If routes of the host
+        have home regions, instances there or in the caller's region come before
+        all others.
+        @param region  the caller's region */
+    std::vector<endpoint> usable_instances(
+        std::string_view host, std::string_view region, std::size_t max_count);
+
     /** Returns how long callers may use the result of usable_instances.
         @param max_lifetime  upper bound of the result */
     duration address_lifetime(duration max_lifetime) const;
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -18,6 +18,8 @@
     /** Name of this instance in logs. */
     std::string name;
     std::string data_centre;
+    /** Region of each data centre; empty if none has a region. */
+    region_map regions;
     /** Address of this instance, with the port for callers and the one for
         peers. */
     endpoint local_endpoint;
