Bound the memory and the connections of callers

Cause: nothing counted what callers make an instance hold. Each connection kept its parsed fields, body, pipelined bytes and answer, up to 560 KB, and accepted connections took all descriptors. On 32 MB, 200 connections: fields without end 72.2 MB, bodies 58.4, bodies after many fields 87.8, pipelined requests 112.4; 504 sockets where 312 are allowed. Change: one account (caller_memory) for all sessions of an instance; the request or answer that holds the most for the longest time is given up when its limit is exceeded. Heads are parsed when they are complete. A listener at its limit of connections closes the one that is used least.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -53,7 +53,13 @@
           *this)
     , directory_(make_own_member(settings_))
     , peers_(loop, time, make_own_member(settings_), settings_.nonce, *this)
-    , listener_(loop, *this, time)
+    , caller_memory_(
+          std::make_shared<caller_memory>(time, max_caller_bytes(settings_)))
+    , listener_(
+          loop,
+          *this,
+          time,
+          {caller_memory_, max_caller_connections(settings_)})
     , puller_(loop, *this)
     , shutdown_(make_shutdown_limits(settings_), time, *this)
     , timer_(loop, [this] { on_wakeup(); })
@@ -90,7 +96,10 @@
     std::uint16_t port,
     local_api::request_function function)
 {
-    apis_.emplace_back(loop_, clock_, std::move(function));
+    apis_.emplace_back(
+        loop_, clock_,
+        caller_resources{caller_memory_, max_api_connections(settings_)},
+        std::move(function));
     return apis_.back().listen(address, port);
 }
 
@@ -155,6 +164,10 @@
         static_cast<double>(pool_.connection_count()));
     metrics_.searcher_connections_opened.set(
         static_cast<double>(pool_.opened_count()));
+    metrics_.caller_memory_bytes.set(
+        static_cast<double>(caller_memory_->total_bytes()));
+    metrics_.caller_memory_given_up.set(
+        static_cast<double>(caller_memory_->given_up_count()));
     metrics_.loop_lag_seconds.set(std::chrono::duration<double>(lag_).count());
     metrics_.log_lines_dropped.set(
         static_cast<double>(log_.dropped_line_count()));
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -243,6 +243,7 @@
     forward_engine engine_;
     caller_directory directory_;
     peer_channel peers_;
+    std::shared_ptr<caller_memory> caller_memory_;
     http_listener listener_;
     std::list<local_api> apis_;
     std::unique_ptr<store_follower> follower_;
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -34,6 +34,12 @@
     , evacuated_data_centres(registry->gauge_of(
           "turmericlane_evacuated_data_centres",
           "Data centres that operators have evacuated."))
+    , caller_memory_bytes(registry->gauge_of(
+          "turmericlane_caller_memory_bytes",
+          "Memory held for callers' requests and answers."))
+    , caller_memory_given_up(registry->gauge_of(
+          "turmericlane_caller_memory_given_up",
+          "Requests and answers of callers given up for lack of memory."))
     , searcher_connections(registry->gauge_of(
           "turmericlane_searcher_connections", "Connections to searchers."))
     , searcher_connections_opened(registry->gauge_of(
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.h
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.h
@@ -48,6 +48,8 @@
     gauge& instances;
     gauge& searchers;
     gauge& evacuated_data_centres;
+    gauge& caller_memory_bytes;
+    gauge& caller_memory_given_up;
     gauge& searcher_connections;
     gauge& searcher_connections_opened;
     gauge& store_age_seconds;
--- a/modules/turmericlane_gateway/gateway/gateway_settings.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.cpp
@@ -1,6 +1,7 @@
 #include "gateway_settings.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace turmericlane
 {
@@ -20,6 +21,16 @@
 constexpr std::uint64_t response_memory_divisor = 16;
 constexpr std::uint64_t min_response_memory_bytes = 4ULL << 20U;
 constexpr std::uint64_t max_response_memory_bytes = 64ULL << 20U;
+/** Share of the process's memory for what is held for callers. The allocator
+    and the kernel's buffers take several times as much. */
+constexpr std::uint64_t caller_memory_divisor = 8;
+constexpr std::uint64_t min_caller_memory_bytes = 2ULL << 20U;
+constexpr std::uint64_t max_caller_memory_bytes = 256ULL << 20U;
+/** Share of the sockets for callers' connections, and of these for each API of
+    the instance itself. */
+constexpr std::size_t caller_socket_divisor = 2;
+constexpr std::size_t api_connection_divisor = 8;
+constexpr std::size_t min_api_connections = 16;
 
 } // namespace
 
@@ -44,6 +55,34 @@
         min_response_memory_bytes, max_response_memory_bytes);
 }
 
+std::size_t max_caller_bytes(const gateway_settings& settings)
+{
+    if (settings.caller_memory_bytes > 0)
+        return settings.caller_memory_bytes;
+    if (settings.memory_bytes == 0)
+        return max_caller_memory_bytes;
+    return std::clamp(
+        settings.memory_bytes / caller_memory_divisor, min_caller_memory_bytes,
+        max_caller_memory_bytes);
+}
+
+std::size_t max_caller_connections(const gateway_settings& settings)
+{
+    if (settings.max_caller_connections > 0)
+        return settings.max_caller_connections;
+    if (settings.max_sockets == 0)
+        return std::numeric_limits<std::size_t>::max();
+    return std::max<std::size_t>(
+        1, settings.max_sockets / caller_socket_divisor);
+}
+
+std::size_t max_api_connections(const gateway_settings& settings)
+{
+    return std::max(
+        min_api_connections,
+        max_caller_connections(settings) / api_connection_divisor);
+}
+
 shutdown_limits make_shutdown_limits(const gateway_settings& settings)
 {
     shutdown_limits limits;
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -29,6 +29,15 @@
     double processor_cores = 1.0;
     /** Memory that the process may use, in bytes; 0 if it is not limited. */
     std::uint64_t memory_bytes = 0;
+    /** File descriptors that the process may use for sockets; 0 if they are not
+        limited. */
+    std::size_t max_sockets = 0;
+    /** Memory for callers' requests and answers, in bytes; 0 for the default, a
+        share of the process's memory. */
+    std::uint64_t caller_memory_bytes = 0;
+    /** Connections of callers, at most; 0 for the default, half of the sockets.
+     */
+    std::size_t max_caller_connections = 0;
     /** Rate of calls to the store that all instances together may make. */
     double store_calls_per_second = 1000.0;
     /** Longest time from the first SIGTERM to the end of the process. */
@@ -44,6 +53,17 @@
     bytes. */
 std::size_t max_response_bytes(const gateway_settings& settings);
 
+/** Returns the limit of the memory that is held for callers, in bytes. */
+std::size_t max_caller_bytes(const gateway_settings& settings);
+
+/** Returns the limit of callers' connections. The other sockets are for
+    searchers, the store and peers. */
+std::size_t max_caller_connections(const gateway_settings& settings);
+
+/** Returns the limit of the connections to each API that the instance answers
+    itself. */
+std::size_t max_api_connections(const gateway_settings& settings);
+
 /** Returns the durations of the shutdown phases. They end before the shutdown
     does, by last_answers_time. */
 shutdown_limits make_shutdown_limits(const gateway_settings& settings);
--- a/modules/turmericlane_gateway/gateway/local_api.cpp
+++ b/modules/turmericlane_gateway/gateway/local_api.cpp
@@ -4,9 +4,12 @@
 {
 
 local_api::local_api(
-    event_context& loop, const clock& time, request_function function)
+    event_context& loop,
+    const clock& time,
+    caller_resources resources,
+    request_function function)
     : function_(std::move(function))
-    , listener_(loop, *this, time)
+    , listener_(loop, *this, time, std::move(resources))
 {
 }
 
--- a/modules/turmericlane_gateway/gateway/local_api.h
+++ b/modules/turmericlane_gateway/gateway/local_api.h
@@ -29,7 +29,10 @@
     /** All references must outlive the API.
         @param function  answers the requests */
     local_api(
-        event_context& loop, const clock& time, request_function function);
+        event_context& loop,
+        const clock& time,
+        caller_resources resources,
+        request_function function);
 
     /** Starts to accept connections.
         @returns nothing on success, otherwise the reason for the failure */
--- a/modules/turmericlane_gateway/http/caller_session.cpp
+++ b/modules/turmericlane_gateway/http/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -26,7 +27,15 @@
     the last answer that the gateway's system holds. */
 constexpr auto write_timeout = 10s;
 /** Bytes of further requests that are read while one is being handled. */
-constexpr std::size_t max_pipelined_bytes = 64U << 10U;
+constexpr std::size_t max_pipelined_bytes = 16U << 10U;
+/** Memory of a parsed field besides its text. */
+constexpr std::size_t field_overhead_bytes = 128;
+/** Larger buffers are freed when they are empty. */
+constexpr std::size_t max_kept_buffer_bytes = 4U << 10U;
+/** Time after which a caller may try again whose request was given up for lack
+    of memory. */
+constexpr std::string_view out_of_memory_fields = "Retry-After: 1\r\n";
+constexpr std::string_view head_end = "\r\n\r\n";
 constexpr std::size_t read_buffer_bytes = 16U << 10U;
 
 std::array<char, read_buffer_bytes>& read_buffer()
@@ -43,6 +52,12 @@
     return static_cast<std::size_t>(n);
 }
 
+void free_if_large(std::string& buffer)
+{
+    if (buffer.empty() && buffer.capacity() > max_kept_buffer_bytes)
+        std::string().swap(buffer);
+}
+
 caller_connection_end to_connection_end(boost::system::error_code read_error)
 {
     if (read_error == boost::asio::error::eof)
@@ -55,11 +70,16 @@
 } // namespace
 
 caller_session::caller_session(
-    tcp_socket socket, session_handler& handler, const clock& time)
+    tcp_socket socket,
+    session_handler& handler,
+    std::shared_ptr<caller_memory> memory,
+    const clock& time)
     : socket_(std::move(socket))
     , handler_(handler)
     , clock_(time)
     , state_start_(time.now())
+    , memory_(std::move(memory))
+    , claim_(*memory_, *this)
 {
 }
 
@@ -115,6 +135,7 @@
             self->written_bytes_ = n;
             self->on_written(ec, is_last_response);
         });
+    update_memory();
 }
 
 bool caller_session::sweep()
@@ -171,6 +192,54 @@
         close(cause);
 }
 
+std::optional<caller_session::usage>
+caller_session::unused_since() const noexcept
+{
+    if (state_ != state::idle && state_ != state::reading)
+        return std::nullopt;
+    return usage(!is_first_request_, state_start_);
+}
+
+bool caller_session::end_unused()
+{
+    if (state_ == state::reading)
+        refuse(503, out_of_memory_fields);
+    else
+        close_if_idle(caller_connection_end::connection_limit);
+    return state_ != state::idle;
+}
+
+void caller_session::give_up_memory()
+{
+    if (state_ == state::reading)
+        refuse(503, out_of_memory_fields);
+    else if (state_ == state::writing)
+        close(caller_connection_end::memory_limit);
+}
+
+void caller_session::update_memory()
+{
+    claim_.set(held_bytes(), state_start_, state_ == state::handling);
+}
+
+std::size_t caller_session::held_bytes() const
+{
+    auto n = unparsed_bytes_.capacity();
+    if (state_ == state::closed)
+        return 0;
+    if (state_ == state::writing)
+        n += response_text_.capacity();
+    if (state_ == state::handling)
+        n += head_bytes_ + body_bytes_;
+    if (state_ == state::reading && parser_)
+    {
+        const auto& body = parser_->get().body();
+        // A body of known length has its memory reserved, but not in use.
+        n += head_bytes_ + (parser_->chunked() ? body.capacity() : body.size());
+    }
+    return n > max_kept_buffer_bytes ? n : 0;
+}
+
 void caller_session::add_to(session_counts& counts)
 {
     switch (state_)
@@ -242,7 +311,10 @@
                 return;
             }
             if (n > 0)
+            {
                 self->on_bytes_read(n);
+                self->update_memory();
+            }
             if (self->state_ == state::closed)
                 return;
             self->is_reading_paused_ =
@@ -268,6 +340,9 @@
 
 void caller_session::start_parser()
 {
+    searched_bytes_ = 0;
+    head_bytes_ = 0;
+    body_bytes_ = 0;
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(handler_.limits().header_bytes);
@@ -278,18 +353,17 @@
 {
     while (!unparsed_bytes_.empty() && !parser_->is_done())
     {
+        if (!parser_->is_header_done() && !is_head_received())
+        {
+            if (unparsed_bytes_.size() > handler_.limits().header_bytes)
+                refuse(431);
+            return;
+        }
         boost::system::error_code ec;
         const auto n = parser_->put(boost::asio::buffer(unparsed_bytes_), ec);
         unparsed_bytes_.erase(0, n);
         if (ec == boost::beast::http::error::need_more)
-        {
-            // The parser applies its limit only to the bytes that it has
-            // parsed.
-            if (!parser_->is_header_done() &&
-                unparsed_bytes_.size() > handler_.limits().header_bytes)
-                refuse(431);
             return;
-        }
         if (ec)
         {
             on_parse_error(ec);
@@ -298,8 +372,30 @@
         if (n == 0)
             return;
     }
-    if (!parser_->is_done())
-        return;
+    if (parser_->is_done())
+        on_request_read();
+}
+
+bool caller_session::is_head_received()
+{
+    // A parsed field takes far more memory than its text, so that the parser
+    // gets complete heads only.
+    const auto position = unparsed_bytes_.find(head_end, searched_bytes_);
+    if (position == std::string::npos)
+    {
+        searched_bytes_ = unparsed_bytes_.size() -
+                          std::min(unparsed_bytes_.size(), head_end.size() - 1);
+        return false;
+    }
+    const auto text = std::string_view(unparsed_bytes_).substr(0, position);
+    const auto lines = std::count(text.begin(), text.end(), '\n');
+    head_bytes_ =
+        text.size() + static_cast<std::size_t>(lines) * field_overhead_bytes;
+    return true;
+}
+
+void caller_session::on_request_read()
+{
     auto message = parser_->release();
     parser_.reset();
     caller_request request;
@@ -311,7 +407,15 @@
     is_head_request_ = message.method() == boost::beast::http::verb::head;
     request.fields =
         std::move(static_cast<boost::beast::http::fields&>(message));
+    body_bytes_ = request.body.size();
+    free_if_large(unparsed_bytes_);
     state_ = state::handling;
+    update_memory();
+    if (memory_->is_full())
+    {
+        refuse(503, out_of_memory_fields);
+        return;
+    }
     handler_.on_request(shared_from_this(), std::move(request));
 }
 
@@ -325,13 +429,15 @@
         refuse(400);
 }
 
-void caller_session::refuse(unsigned status)
+void caller_session::refuse(unsigned status, std::string_view fields)
 {
     handler_.on_bad_request(status);
     request_label.clear();
     state_ = state::handling;
     is_head_request_ = false;
-    respond(status, {}, {}, true);
+    parser_.reset();
+    std::string().swap(unparsed_bytes_);
+    respond(status, fields, {}, true);
 }
 
 void caller_session::on_written(boost::system::error_code ec, bool must_close)
@@ -350,10 +456,13 @@
         discard();
         return;
     }
+    response_text_.clear();
+    free_if_large(response_text_);
     state_ = unparsed_bytes_.empty() ? state::idle : state::reading;
     start_parser();
     if (state_ == state::reading)
         parse();
+    update_memory();
     if (is_reading_paused_ && state_ != state::closed)
     {
         is_reading_paused_ = false;
@@ -365,7 +474,9 @@
 {
     state_ = state::draining;
     state_start_ = clock_.now();
-    unparsed_bytes_.clear();
+    std::string().swap(unparsed_bytes_);
+    std::string().swap(response_text_);
+    update_memory();
     boost::system::error_code ec;
     socket_.shutdown(tcp_socket::shutdown_send, ec);
     if (std::exchange(is_reading_paused_, false))
@@ -376,6 +487,7 @@
 {
     report_end(cause);
     state_ = state::closed;
+    update_memory();
     boost::system::error_code ec;
     socket_.close(ec);
 }
--- a/modules/turmericlane_gateway/http/caller_session.h
+++ b/modules/turmericlane_gateway/http/caller_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../loop/event_loop.h"
+#include "caller_memory.h"
 #include "connection_report.h"
 #include "http_message.h"
 #include "session_counts.h"
@@ -60,14 +61,19 @@
 
     @see http_listener
 */
-class caller_session : public std::enable_shared_from_this<caller_session>
+class caller_session : public std::enable_shared_from_this<caller_session>,
+                       private caller_memory_holder
 {
 public:
     /** @param socket   accepted connection
         @param handler  must outlive the session
+        @param memory   counts what the session holds
         @param time     must outlive the session */
     caller_session(
-        tcp_socket socket, session_handler& handler, const clock& time);
+        tcp_socket socket,
+        session_handler& handler,
+        std::shared_ptr<caller_memory> memory,
+        const clock& time);
 
     /** Starts to read requests. */
     void start();
@@ -105,6 +111,26 @@
         @param cause  for the report */
     void close_if_idle(caller_connection_end cause);
 
+    /** How much the caller uses its connection, for comparing; the least comes
+        first: connections that never carried a complete request, then the ones
+        that have waited longest for the next. */
+    using usage = std::pair<bool, time_point>;
+
+    /** Returns the usage of a connection that carries no complete request;
+        nothing if a request is being handled or answered. */
+    std::optional<usage> unused_since() const noexcept;
+
+    /** Ends the connection of a caller that sends no complete request, to make
+        room for others. An incomplete request gets a refusal.
+        @returns false if the connection can't be ended */
+    bool end_unused();
+
+    /** True if the connection has ended. */
+    bool is_closed() const noexcept
+    {
+        return state_ == state::closed;
+    }
+
     /** Adds this session to the counts unless it has ended. */
     void add_to(session_counts& counts);
 
@@ -138,12 +164,20 @@
     using parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    void give_up_memory() override;
+    /** Tells the caller_memory what the session holds. */
+    void update_memory();
+    std::size_t held_bytes() const;
+
     void read();
     void on_bytes_read(std::size_t size);
     void parse();
+    /** True if the end of the request's head has been received. */
+    bool is_head_received();
+    void on_request_read();
     void start_parser();
     void on_parse_error(boost::system::error_code ec);
-    void refuse(unsigned status);
+    void refuse(unsigned status, std::string_view fields = {});
     void on_written(boost::system::error_code ec, bool must_close);
     /** Sends the end of the stream and discards what the caller still sends. */
     void discard();
@@ -171,6 +205,14 @@
     /** Bytes of response_text_ that the system has taken over. */
     std::size_t written_bytes_ = 0;
     std::optional<parser> parser_;
+    /** Bytes of an incomplete head that have been searched for its end. */
+    std::size_t searched_bytes_ = 0;
+    /** Memory of the current request, apart from its body: of the parsed head
+        while it is read, then of its text. */
+    std::size_t head_bytes_ = 0;
+    std::size_t body_bytes_ = 0;
+    std::shared_ptr<caller_memory> memory_;
+    caller_memory_claim claim_;
 };
 
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/http/connection_report.cpp
+++ b/modules/turmericlane_gateway/http/connection_report.cpp
@@ -23,6 +23,10 @@
         return "idle_timeout";
     case caller_connection_end::closed_idle:
         return "closed_idle";
+    case caller_connection_end::connection_limit:
+        return "connection_limit";
+    case caller_connection_end::memory_limit:
+        return "memory_limit";
     case caller_connection_end::process_end:
         return "process_end";
     }
--- a/modules/turmericlane_gateway/http/connection_report.h
+++ b/modules/turmericlane_gateway/http/connection_report.h
@@ -24,6 +24,10 @@
     /** This instance closed it because it is shutting down and the connection
         carried no request. */
     closed_idle,
+    /** This instance made room for other connections. */
+    connection_limit,
+    /** The answers that wait for their callers took too much memory. */
+    memory_limit,
     /** The process ends. */
     process_end
 };
--- a/modules/turmericlane_gateway/http/http_listener.cpp
+++ b/modules/turmericlane_gateway/http/http_listener.cpp
@@ -15,12 +15,18 @@
 } // namespace
 
 http_listener::http_listener(
-    event_context& loop, session_handler& handler, const clock& time)
+    event_context& loop,
+    session_handler& handler,
+    const clock& time,
+    caller_resources resources)
     : handler_(handler)
     , clock_(time)
+    , resources_(std::move(resources))
     , acceptor_(loop.get_executor())
     , retry_timer_(loop.get_executor())
 {
+    if (!resources_.memory)
+        resources_.memory = std::make_shared<caller_memory>(time);
 }
 
 std::optional<std::string>
@@ -118,10 +124,30 @@
 
 void http_listener::start_session(tcp_socket socket)
 {
-    auto session =
-        std::make_shared<caller_session>(std::move(socket), handler_, clock_);
+    if (!make_room())
+        return;
+    auto session = std::make_shared<caller_session>(
+        std::move(socket), handler_, resources_.memory, clock_);
     sessions_.push_back(session);
     session->start();
 }
 
+bool http_listener::make_room()
+{
+    if (sessions_.size() < resources_.max_connections)
+        return true;
+    std::erase_if(sessions_, [](const auto& it) { return it->is_closed(); });
+    if (sessions_.size() < resources_.max_connections)
+        return true;
+    auto least_used = sessions_.end();
+    for (auto it = sessions_.begin(); it != sessions_.end(); ++it)
+    {
+        const auto candidate = (*it)->unused_since();
+        if (candidate && (least_used == sessions_.end() ||
+                          *candidate < *(*least_used)->unused_since()))
+            least_used = it;
+    }
+    return least_used != sessions_.end() && (*least_used)->end_unused();
+}
+
 } // namespace turmericlane
--- a/modules/turmericlane_gateway/http/http_listener.h
+++ b/modules/turmericlane_gateway/http/http_listener.h
@@ -2,21 +2,37 @@
 
 #include "caller_session.h"
 
+#include <limits>
 #include <list>
 
 namespace turmericlane
 {
 
-/** Accepts connections at one address and owns their sessions.
+/** What the callers of a listener may use. */
+struct caller_resources
+{
+    /** Counts the memory that is held for callers. */
+    std::shared_ptr<caller_memory> memory;
+    /** Open connections, at most. */
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+};
+
+/** Accepts connections at one address and owns their sessions. At the limit of
+    the connections, the one whose caller uses it least is closed for a new
+    one.
 
     @see caller_session
 */
 class http_listener
 {
 public:
-    /** All references must outlive the listener. */
+    /** All references must outlive the listener.
+        @param resources  without a memory, it isn't limited */
     http_listener(
-        event_context& loop, session_handler& handler, const clock& time);
+        event_context& loop,
+        session_handler& handler,
+        const clock& time,
+        caller_resources resources = {});
 
     /** Starts to accept connections.
         @returns nothing on success, otherwise the reason for the failure */
@@ -54,9 +70,13 @@
 private:
     void accept();
     void start_session(tcp_socket socket);
+    /** Closes connections until one more fits.
+        @returns false if none can be closed */
+    bool make_room();
 
     session_handler& handler_;
     const clock& clock_;
+    caller_resources resources_;
     tcp_acceptor acceptor_;
     loop_timer retry_timer_;
     std::list<std::shared_ptr<caller_session>> sessions_;
