--- /dev/null
+++ b/modules/turmericlane_forwarding/admission/request_admission.cpp
@@ -0,0 +1,113 @@
+#include "request_admission.h"
+
+#include "../engine/request_limits.h"
+#include "completion_time.h"
+
+#include <algorithm>
+
+namespace turmericlane
+{
+
+namespace
+{
+
+/** Share of the target for which a request may be admitted although it has to
+    wait for a searcher that wants no requests at present. */
+constexpr double admitted_quiet_share = 0.25;
+/** Rounding error of a number of shards that is computed from a coverage. */
+constexpr double rounding_tolerance = 1e-9;
+
+} // namespace
+
+request_admission::request_admission(
+    const clock& time,
+    searcher_availability& availability,
+    const waiting_work& work)
+    : clock_(time)
+    , availability_(availability)
+    , work_(work)
+{
+}
+
+std::optional<request_refusal> request_admission::decide(
+    const forward_request& request,
+    const std::string* service,
+    const hedge_timing& timing,
+    std::size_t in_flight)
+{
+    const auto& matched_route = *request.matched_route;
+    if (!has_searchers(matched_route, service))
+        return request_refusal{
+            forward_failure::no_searcher,
+            availability_.time_until_searcher(matched_route, service)};
+    instance_load load;
+    load.in_flight = in_flight;
+    load.lag = lag_;
+    load.queue_wait = expected_wait(matched_route, service, timing);
+    if (end_time_ != time_point::max() &&
+        !is_answered_before_end(request, load, timing))
+        // Other instances can take the request at once.
+        return request_refusal{forward_failure::stopping, duration::zero()};
+    const auto retry_after = control_.retry_after(matched_route, load);
+    if (retry_after == duration::zero())
+        return std::nullopt;
+    return request_refusal{forward_failure::overloaded, retry_after};
+}
+
+duration request_admission::expected_wait(
+    const route& matched_route,
+    const std::string& service,
+    const hedge_timing& timing) const
+{
+    const auto parts_ahead = work_.count_ahead(service, matched_route.rank);
+    if (parts_ahead == 0)
+        return duration::zero();
+    std::size_t capacity = 0;
+    for (const auto& it : availability_.candidates(matched_route, service))
+        capacity += it->max_in_flight();
+    return timing.median_latency() * parts_ahead /
+           std::max<std::size_t>(capacity, 1);
+}
+
+duration request_admission::expected_wait(
+    const route& matched_route,
+    const std::string* service,
+    const hedge_timing& timing) const
+{
+    if (service != nullptr)
+        return expected_wait(matched_route, *service, timing);
+    auto longest_wait = duration::zero();
+    for (const auto& it : matched_route.shards)
+        longest_wait =
+            std::max(longest_wait, expected_wait(matched_route, it, timing));
+    return longest_wait;
+}
+
+bool request_admission::has_searchers(
+    const route& matched_route, const std::string* service)
+{
+    const auto latest =
+        clock_.now() + std::chrono::duration_cast<duration>(
+                           matched_route.target_latency * admitted_quiet_share);
+    if (service != nullptr)
+        return availability_.usable_time(matched_route, *service) <= latest;
+    const auto needed_count =
+        matched_route.min_coverage * matched_route.shards.size() -
+        rounding_tolerance;
+    const auto usable_count =
+        availability_.count_usable_shards(matched_route, latest);
+    return static_cast<double>(usable_count) >= needed_count;
+}
+
+bool request_admission::is_answered_before_end(
+    const forward_request& request,
+    const instance_load& load,
+    const hedge_timing& timing) const
+{
+    const auto& matched_route = *request.matched_route;
+    const work_estimate estimate{
+        limits_of(request).timeout, load.queue_wait, timing.slow_latency()};
+    return clock_.now() + completion_time(matched_route, estimate) <= end_time_;
+}
+
+} // namespace turmericlane
--- /dev/null
+++ b/modules/turmericlane_forwarding/admission/request_admission.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "../attempts/hedge_timing.h"
+#include "../engine/forward_request.h"
+#include "../searchers/searcher_availability.h"
+#include "admission_control.h"
+#include "waiting_work.h"
+
+#include <optional>
+
+namespace turmericlane
+{
+
+/** Why a request is refused, and when its caller may send it again. */
+struct request_refusal
+{
+    forward_failure failure = forward_failure::overloaded;
+    /** Zero if other instances can take the request at once. */
+    duration retry_after{};
+};
+
+/** Decides at its arrival whether a request is refused: because too few of its
+    searchers are usable, because this instance ends before the answer, or
+    because the waiting work would make the answer late.
+
+    Decision code without input or output. Not thread-safe.
+
+    @see forward_engine, admission_control
+*/
+class request_admission
+{
+public:
+    /** All references must outlive the object. */
+    request_admission(
+        const clock& time,
+        searcher_availability& availability,
+        const waiting_work& work);
+
+    /** Sets when this instance ends. */
+    void prepare_stop(time_point end_time) noexcept
+    {
+        end_time_ = end_time;
+    }
+
+    /** Sets for how long work waits for the processor at present. */
+    void on_lag(duration lag) noexcept
+    {
+        lag_ = lag;
+    }
+
+    /** Returns why a request that has arrived is refused; nothing if it is
+        admitted.
+        @param service    service of the request; null if it is gathered
+        @param timing     latencies of its route
+        @param in_flight  requests without an answer */
+    std::optional<request_refusal> decide(
+        const forward_request& request,
+        const std::string* service,
+        const hedge_timing& timing,
+        std::size_t in_flight);
+
+private:
+    duration expected_wait(
+        const route& matched_route,
+        const std::string& service,
+        const hedge_timing& timing) const;
+    /** The same for a request; the longest one over its sub-requests. */
+    duration expected_wait(
+        const route& matched_route,
+        const std::string* service,
+        const hedge_timing& timing) const;
+    bool has_searchers(const route& matched_route, const std::string* service);
+    /** True if the request is expected to be answered before this instance
+        ends. */
+    bool is_answered_before_end(
+        const forward_request& request,
+        const instance_load& load,
+        const hedge_timing& timing) const;
+
+    const clock& clock_;
+    searcher_availability& availability_;
+    const waiting_work& work_;
+    admission_control control_;
+    /** When this instance ends, if it is known. */
+    time_point end_time_ = time_point::max();
+    duration lag_{};
+};
+
+} // namespace turmericlane
--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -1,5 +1,7 @@
 #include "forward_engine.h"
 
+#include "request_limits.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -11,16 +13,6 @@
 
 using namespace std::chrono_literals;
 
-/** Time for building an answer and for handling it at both ends, without the
-    round trip to the caller. */
-constexpr auto handling_time = 4ms;
-/** Round-trip time that is assumed where none was measured. */
-constexpr auto assumed_travel_time = 3ms;
-/** Limit of the round-trip time as a share of the target; longer measured ones
-    are mostly temporary delays. */
-constexpr double max_travel_share = 0.3;
-/** Share of the time left that is reserved for the way back to the caller. */
-constexpr double deadline_margin_share = 0.04;
 /** No extra attempt is sent with less time left. */
 constexpr auto min_useful_time = 2ms;
 /** Limit of the attempts of a sub-request that were not executed. */
@@ -30,31 +22,9 @@
 constexpr auto surplus_attempt_time = 400ms;
 /** Interval at which a retry that the budget did not allow is tried again. */
 constexpr auto budget_recheck_interval = 15ms;
-/** Share of the target for which a request may be admitted although it has to
-    wait for a searcher that wants no requests at present. */
-constexpr double admitted_quiet_share = 0.25;
 /** Interval at which an overdue attempt that could not be hedged is checked
     again. */
 constexpr auto hedge_recheck_interval = 8ms;
-/** Rounding error of a number of shards that is computed from a coverage. */
-constexpr double rounding_tolerance = 1e-9;
-
-duration scale(duration time, double factor)
-{
-    return std::chrono::duration_cast<duration>(time * factor);
-}
-
-/** Returns the part of the target that is needed for the way to the caller and
-    the handling of the answer. */
-duration reply_margin(const forward_request& request)
-{
-    const auto has_travel_time = request.travel_time > duration::zero();
-    const auto travel =
-        has_travel_time ? request.travel_time : assumed_travel_time;
-    const auto max_travel =
-        scale(request.matched_route->target_latency, max_travel_share);
-    return std::min<duration>(travel, max_travel) + handling_time;
-}
 
 /** True unless it is certain that the request was not executed. */
 bool may_have_run(attempt_outcome value)
@@ -79,19 +49,6 @@
            value != attempt_outcome::turned_away;
 }
 
-answer_limits limits_of(const forward_request& request)
-{
-    const auto& matched_route = *request.matched_route;
-    const auto max_wait =
-        request.time_left - scale(request.time_left, deadline_margin_share);
-    answer_limits limits;
-    limits.min_coverage = matched_route.min_coverage;
-    limits.timeout = std::min(max_wait, matched_route.timeout);
-    limits.target_time = std::min(
-        limits.timeout, matched_route.target_latency - reply_margin(request));
-    return limits;
-}
-
 } // namespace
 
 forward_engine::forward_engine(
@@ -107,6 +64,7 @@
     , selector_(settings.data_centre, settings.seed)
     , availability_(time, searchers, settings.regions, settings.seed)
     , budget_(settings.extra_attempts, time)
+    , admission_(time, availability_, queues_)
 {
 }
 
@@ -149,7 +107,7 @@
 
 void forward_engine::prepare_stop(time_point end_time)
 {
-    end_time_ = end_time;
+    admission_.prepare_stop(end_time);
 }
 
 void forward_engine::stop()
@@ -240,7 +198,7 @@
 void forward_engine::on_searchers_lost()
 {
     std::vector<waiting_part> lost_parts;
-    for (auto& [service, ranks] : queues_)
+    for (auto& [service, ranks] : queues_.services())
     {
         if (!searchers_.service_searchers(service).empty())
             continue;
@@ -262,7 +220,7 @@
 
 void forward_engine::on_lag(duration lag)
 {
-    lag_ = lag;
+    admission_.on_lag(lag);
 }
 
 void forward_engine::set_instances(double instances)
@@ -283,96 +241,18 @@
     }
 }
 
-duration forward_engine::expected_queue_wait(
-    const route& matched_route, const std::string& service)
-{
-    const auto match = queues_.find(service);
-    if (match == queues_.end())
-        return duration::zero();
-    std::size_t parts_ahead = 0;
-    for (const auto& [rank, parts] : match->second)
-    {
-        if (rank <= matched_route.rank)
-            parts_ahead += parts.size();
-    }
-    std::size_t capacity = 0;
-    for (const auto& it : availability_.candidates(matched_route, service))
-        capacity += it->max_in_flight();
-    return timings_[matched_route.name].median_latency() * parts_ahead /
-           std::max<std::size_t>(capacity, 1);
-}
-
-duration forward_engine::expected_queue_wait(
-    const route& matched_route, const std::string* service)
-{
-    if (service != nullptr)
-        return expected_queue_wait(matched_route, *service);
-    auto longest_wait = duration::zero();
-    for (const auto& it : matched_route.shards)
-        longest_wait =
-            std::max(longest_wait, expected_queue_wait(matched_route, it));
-    return longest_wait;
-}
-
-bool forward_engine::is_answered_before_end(
-    const forward_request& request, const instance_load& load)
-{
-    const auto& matched_route = *request.matched_route;
-    const work_estimate estimate{
-        limits_of(request).timeout, load.queue_wait,
-        timings_[matched_route.name].slow_latency()};
-    return clock_.now() + completion_time(matched_route, estimate) <= end_time_;
-}
-
-void forward_engine::refuse(
-    const forward_request& request,
-    forward_failure failure,
-    duration retry_after)
-{
-    forward_result result;
-    result.failure = failure;
-    result.retry_after = retry_after;
-    actions_.finish(request.id, std::move(result));
-}
-
 bool forward_engine::try_refuse(
     const forward_request& request, const std::string* service)
 {
-    const auto& matched_route = *request.matched_route;
-    const auto needed_count =
-        matched_route.is_gathered()
-            ? matched_route.min_coverage * matched_route.shards.size() -
-                  rounding_tolerance
-            : 1.0;
-    const auto latest =
-        clock_.now() +
-        scale(matched_route.target_latency, admitted_quiet_share);
-    const auto usable_count =
-        matched_route.is_gathered()
-            ? availability_.count_usable_shards(matched_route, latest)
-            : availability_.usable_time(matched_route, *service) <= latest;
-    if (static_cast<double>(usable_count) < needed_count)
-    {
-        refuse(
-            request, forward_failure::no_searcher,
-            availability_.time_until_searcher(matched_route, service));
-        return true;
-    }
-    instance_load load;
-    load.in_flight = requests_.size();
-    load.lag = lag_;
-    load.queue_wait = expected_queue_wait(matched_route, service);
-    if (end_time_ != time_point::max() &&
-        !is_answered_before_end(request, load))
-    {
-        // Other instances can take the request at once.
-        refuse(request, forward_failure::stopping, duration::zero());
-        return true;
-    }
-    const auto retry_after = admission_.retry_after(matched_route, load);
-    if (retry_after == duration::zero())
+    const auto& timing = timings_[request.matched_route->name];
+    const auto refusal =
+        admission_.decide(request, service, timing, requests_.size());
+    if (!refusal)
         return false;
-    refuse(request, forward_failure::overloaded, retry_after);
+    forward_result result;
+    result.failure = refusal->failure;
+    result.retry_after = refusal->retry_after;
+    actions_.finish(request.id, std::move(result));
     return true;
 }
 
@@ -423,7 +303,8 @@
     if (selection.result == replica_selector::outcome::busy)
     {
         part.state = part_state::waiting;
-        queues_[*part.service][state.request.matched_route->rank].push_back(
+        queues_.add(
+            *part.service, state.request.matched_route->rank,
             {state.request.id, part_index});
         return;
     }
@@ -718,10 +599,10 @@
 
 void forward_engine::dispatch_waiting(const std::string& service)
 {
-    const auto match = queues_.find(service);
-    if (match == queues_.end())
+    auto* const ranks = queues_.find(service);
+    if (ranks == nullptr)
         return;
-    for (auto& [rank, parts] : match->second)
+    for (auto& [rank, parts] : *ranks)
     {
         auto position = parts.begin();
         while (position != parts.end())
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../admission/admission_control.h"
-#include "../admission/completion_time.h"
+#include "../admission/request_admission.h"
+#include "../admission/waiting_work.h"
 #include "../attempts/extra_attempt_budget.h"
 #include "../attempts/hedge_timing.h"
 #include "../gather/answer_rule.h"
@@ -13,9 +13,6 @@
 
 #include <turmericlane_decisions/timing/timer_heap.h>
 
-#include <deque>
-#include <map>
-
 namespace turmericlane
 {
 
@@ -141,35 +138,16 @@
         time_point sent_time;
     };
 
-    struct waiting_part
-    {
-        request_handle request = 0;
-        std::size_t part_index = 0;
-    };
-
     struct timer
     {
         request_handle request = 0;
         attempt_handle attempt = 0;
     };
 
-    using queue = std::map<std::uint32_t, std::deque<waiting_part>>;
-
-    duration
-    expected_queue_wait(const route& matched_route, const std::string& service);
-    /** The same for a request; the longest one over its sub-requests.
-        @param service  service of the request; null if it is gathered */
-    duration
-    expected_queue_wait(const route& matched_route, const std::string* service);
+    /** Finishes a request that is not admitted.
+        @param service  service of the request; null if it is gathered
+        @returns true if the request was refused */
     bool try_refuse(const forward_request& request, const std::string* service);
-    /** True if the request is expected to be answered before this instance
-        ends. */
-    bool is_answered_before_end(
-        const forward_request& request, const instance_load& load);
-    void refuse(
-        const forward_request& request,
-        forward_failure failure,
-        duration retry_after);
     /** True if the request can be answered even if one more part fails. */
     bool is_part_dispensable(const request_state& state) const;
     /** True if a searcher that may serve the sub-request is usable now. */
@@ -220,16 +198,13 @@
     replica_selector selector_;
     searcher_availability availability_;
     extra_attempt_budget budget_;
-    admission_control admission_;
+    waiting_work queues_;
+    request_admission admission_;
     std::unordered_map<std::string, hedge_timing> timings_;
     std::unordered_map<request_handle, request_state> requests_;
     std::unordered_map<attempt_handle, attempt_state> attempts_;
-    std::unordered_map<std::string, queue> queues_;
     timer_heap<timer> timers_;
     attempt_handle last_attempt_ = 0;
-    /** When this instance ends, if it is known. */
-    time_point end_time_ = time_point::max();
-    duration lag_{};
 };
 
 } // namespace turmericlane
--- a/modules/turmericlane_forwarding/engine/forward_request.h
+++ b/modules/turmericlane_forwarding/engine/forward_request.h
@@ -25,8 +25,10 @@
     /** Round-trip time between the caller and this instance; zero if not
         known. */
     duration travel_time{};
-    /** The caller's id for the request, for logs. */
+    /** The caller's id for the request. */
     std::string label;
+    /** IP address of the caller; empty if not known. */
+    std::string caller_address;
 };
 
 /** Why a request was not answered. */
--- a/modules/turmericlane_forwarding/tests/engine_simulation.cpp
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.cpp
@@ -65,8 +65,11 @@
     return result;
 }
 
-request_handle
-engine_simulation::start_request(const route& tested_route, duration time_left)
+request_handle engine_simulation::start_request(
+    const route& tested_route,
+    duration time_left,
+    std::string label,
+    std::string caller_address)
 {
     route_configuration configuration;
     configuration.version = 1;
@@ -77,6 +80,8 @@
     request.matched_route = &routes->configuration().routes.front();
     request.routes = std::move(routes);
     request.time_left = time_left;
+    request.label = std::move(label);
+    request.caller_address = std::move(caller_address);
     const auto id = request.id;
     start_times_[id] = time.now();
     engine.start(std::move(request));
--- a/modules/turmericlane_forwarding/tests/engine_simulation.h
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.h
@@ -55,7 +55,9 @@
     /** Starts a request of a route. */
     request_handle start_request(
         const route& tested_route,
-        duration time_left = std::chrono::seconds(2));
+        duration time_left = std::chrono::seconds(2),
+        std::string label = {},
+        std::string caller_address = {});
 
     /** Advances the clock and delivers the results that become due. */
     void run_for(duration time_span);
