--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../admission/admission_control.h"
-#include "../admission/completion_time.h"
+#include "../admission/request_admission.h"
+#include "../admission/waiting_work.h"
 #include "../attempts/extra_attempt_budget.h"
 #include "../attempts/hedge_timing.h"
 #include "../gather/answer_rule.h"
@@ -13,9 +13,6 @@
 
 #include <turmericlane_decisions/timing/timer_heap.h>
 
-#include <deque>
-#include <map>
-
 namespace turmericlane
 {
 
@@ -29,6 +26,9 @@
     extra_attempt_limits extra_attempts;
     /** Region of each data centre. */
     region_map regions;
+    /** True if ranks share the room in front of services.
+        @see room_control */
+    bool shares_room = false;
 };
 
 /** Receives events of requests, for logs and metrics. */
@@ -105,6 +105,10 @@
         @see extra_attempt_budget::set_instances */
     void set_instances(double instances);
 
+    /** Returns the share of each rank in the room of each service; empty where
+        the room is not divided. */
+    std::vector<std::pair<std::string, service_room::rank_share>> room_shares();
+
     /** Call at or after next_wakeup(). */
     void on_timer();
 
@@ -141,35 +145,16 @@
         time_point sent_time;
     };
 
-    struct waiting_part
-    {
-        request_handle request = 0;
-        std::size_t part_index = 0;
-    };
-
     struct timer
     {
         request_handle request = 0;
         attempt_handle attempt = 0;
     };
 
-    using queue = std::map<std::uint32_t, std::deque<waiting_part>>;
-
-    duration
-    expected_queue_wait(const route& matched_route, const std::string& service);
-    /** The same for a request; the longest one over its sub-requests.
-        @param service  service of the request; null if it is gathered */
-    duration
-    expected_queue_wait(const route& matched_route, const std::string* service);
+    /** Finishes a request that is not admitted.
+        @param service  service of the request; null if it is gathered
+        @returns true if the request was refused */
     bool try_refuse(const forward_request& request, const std::string* service);
-    /** True if the request is expected to be answered before this instance
-        ends. */
-    bool is_answered_before_end(
-        const forward_request& request, const instance_load& load);
-    void refuse(
-        const forward_request& request,
-        forward_failure failure,
-        duration retry_after);
     /** True if the request can be answered even if one more part fails. */
     bool is_part_dispensable(const request_state& state) const;
     /** True if a searcher that may serve the sub-request is usable now. */
@@ -208,6 +193,26 @@
     void finish(request_state& state, forward_failure failure);
     void release_attempts(const request_state& state, bool is_immediate);
     void dispatch_waiting(const std::string& service);
+    /** Sends waiting sub-requests in the order of room_control. */
+    void dispatch_by_share(const std::string& service);
+    /** Sends the first sub-request of a queue for which there is a searcher,
+        preferably one that can still meet its target.
+        @returns true if one was sent */
+    bool dispatch_next(std::deque<waiting_part>& parts, bool& is_full);
+    /** Refuses waiting requests that are not expected to meet their target. */
+    void drop_unservable(const std::string& service);
+    /** The same for the services for which a request waits. May end it. */
+    void drop_waiting(const request_state& state);
+    /** Refuses a request of which nothing has run. */
+    void drop(request_handle id);
+    waiting_part
+    make_waiting_part(const request_state& state, std::size_t part_index) const;
+    bool is_waiting(const waiting_part& part) const;
+    /** Returns until when a request may be refused where ranks share the
+        room. */
+    static time_point refusal_end(const request_state& state);
+    /** True if a request may still be refused. */
+    bool may_refuse(const request_state& state) const;
     /** Appends the running attempts of a sub-request, or its state if there
         are none. */
     void list_attempts(
@@ -220,16 +225,13 @@
     replica_selector selector_;
     searcher_availability availability_;
     extra_attempt_budget budget_;
-    admission_control admission_;
+    waiting_work queues_;
+    request_admission admission_;
     std::unordered_map<std::string, hedge_timing> timings_;
     std::unordered_map<request_handle, request_state> requests_;
     std::unordered_map<attempt_handle, attempt_state> attempts_;
-    std::unordered_map<std::string, queue> queues_;
     timer_heap<timer> timers_;
     attempt_handle last_attempt_ = 0;
-    /** When this instance ends, if it is known. */
-    time_point end_time_ = time_point::max();
-    duration lag_{};
 };
 
 } // namespace turmericlane
--- a/modules/turmericlane_forwarding/engine/forward_request.h
+++ b/modules/turmericlane_forwarding/engine/forward_request.h
@@ -25,7 +25,7 @@
     /** Round-trip time between the caller and this instance; zero if not
         known. */
     duration travel_time{};
-    /** The caller's id for the request, for logs. */
+    /** The caller's id for the request. */
     std::string label;
 };
 
