Pace requests to cold searchers

A searcher that has just started, or says so again later, fails at more than a certain rate of requests. So far a cold searcher only cost more in the selection, and every instance sent to it without regard to the others.

warm_up_pacer allows a share in any window while a searcher is cold; searcher::is_quiet and quiet_end include it, so that selection, waiting and refusals treat such a searcher like one that asked for a quiet time.

A waiting sub-request is checked again after more urgent ones took the share; it waited for the next share before, far beyond its target.

--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -596,6 +596,9 @@
             fail_part(state, i);
         if (part.state == part_state::waiting)
             dispatch_waiting(*part.service);
+        // More urgent ones may have got what a cold searcher can handle.
+        if (part.state == part_state::waiting && is_unserved(state, part))
+            fail_part(state, i);
         if (part.state != part_state::running || part.running_attempts != 1 ||
             now - part.last_sent_time < hedge_delay)
             continue;
--- a/modules/turmericlane_forwarding/model/route_configuration.h
+++ b/modules/turmericlane_forwarding/model/route_configuration.h
@@ -69,6 +69,11 @@
     /** Connections that one searcher of the service accepts from all instances
         together. */
     std::uint32_t max_connections = 1;
+    /** Time for which a searcher is cold after its start. */
+    duration warm_up_time{};
+    /** Requests in a second that a cold searcher can handle from all instances
+        together; 0 for no bound. */
+    double warm_up_rate = 0.0;
 };
 
 /** Limits on the requests and connections of callers. */
--- a/modules/turmericlane_forwarding/searchers/searcher.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher.cpp
@@ -77,6 +77,7 @@
     , load_time_(now - load_lifetime)
     , warm_up_end_(now + entry_.warm_up_time)
 {
+    warm_up_.on_cold_until(warm_up_end_);
 }
 
 void searcher::update(searcher_entry entry, time_point now)
@@ -90,21 +91,24 @@
         failure_rate_ = 0.0;
         avoidance_end_ = {};
         quiet_end_ = {};
+        warm_up_.reset();
         window_ = std::numeric_limits<std::uint32_t>::max();
         departure_report_end_ = {};
         is_ejected_ = false;
     }
     entry_ = std::move(entry);
     warm_up_end_ = now + entry_.warm_up_time;
+    warm_up_.on_cold_until(warm_up_end_);
     is_removed_ = false;
 }
 
-void searcher::on_request_sent(time_point now) noexcept
+void searcher::on_request_sent(time_point now)
 {
     if (in_flight_ == 0)
         wait_start_ = now;
     ++in_flight_;
     ++requests_since_load_;
+    warm_up_.on_request_sent(now);
 }
 
 void searcher::on_request_ended() noexcept
@@ -192,7 +196,7 @@
 
 void searcher::on_quiet_requested(duration quiet_time, time_point now) noexcept
 {
-    if (!is_quiet(now))
+    if (!is_quiet_requested(now))
     {
         window_ = std::max(1U, std::min(window_, in_flight_) / 2);
         window_growth_interval_ = quiet_time * quiet_times_per_growth;
@@ -273,7 +277,7 @@
     const auto load_ratio = utilisation(now);
     auto total = slowness(now) * work_time_factor(now) *
                  (1.0 + utilisation_cost * load_ratio * load_ratio);
-    if (now < warm_up_end_)
+    if (now < warm_up_end_ || warm_up_.is_cold(now))
         total *= warm_up_factor;
     total += failure_cost * failure_rate(now);
     if (is_avoided(now))
--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "searcher_entry.h"
+#include "warm_up_pacer.h"
 
 #include <algorithm>
 #include <limits>
@@ -102,7 +103,7 @@
     }
 
     /** Call when a request is sent. */
-    void on_request_sent(time_point now) noexcept;
+    void on_request_sent(time_point now);
 
     /** Call when a request ends, with or without an answer. */
     void on_request_ended() noexcept;
@@ -146,15 +147,34 @@
     void on_quiet_requested(duration quiet_time, time_point now) noexcept;
 
     /** True if it asked to be sent nothing at present. */
-    bool is_quiet(time_point now) const noexcept
+    bool is_quiet_requested(time_point now) const noexcept
     {
         return now < quiet_end_;
     }
 
-    /** Returns the end of the last time in which it wanted no requests. */
+    /** True if it must be sent nothing at present: it asked for that, or it is
+        cold and this instance has used its share of what it can handle. */
+    bool is_quiet(time_point now) const noexcept
+    {
+        return is_quiet_requested(now) || !warm_up_.allows_request(now);
+    }
+
+    /** Returns the end of the last time in which it must be sent nothing. */
     time_point quiet_end() const noexcept
     {
-        return quiet_end_;
+        return std::max(quiet_end_, warm_up_.next_request_time());
+    }
+
+    /** Returns the pacing of requests while it is cold. */
+    warm_up_pacer& warm_up() noexcept
+    {
+        return warm_up_;
+    }
+
+    /** Returns the pacing of requests while it is cold. */
+    const warm_up_pacer& warm_up() const noexcept
+    {
+        return warm_up_;
     }
 
     /** Returns when the searcher last answered any request, also with an error;
@@ -264,6 +284,7 @@
     bool is_ejected_ = false;
     time_point next_probe_time_{};
     time_point quiet_end_{};
+    warm_up_pacer warm_up_;
     /** Requests that may be in flight since the last quiet time. */
     std::uint32_t window_ = std::numeric_limits<std::uint32_t>::max();
     duration window_growth_interval_{};
--- a/modules/turmericlane_forwarding/turmericlane_forwarding.h
+++ b/modules/turmericlane_forwarding/turmericlane_forwarding.h
@@ -25,3 +25,4 @@
 #include "searchers/fleet_division.h"
 #include "searchers/searcher_availability.h"
 #include "searchers/searcher_registry.h"
+#include "searchers/warm_up_share.h"
