Accept only hellos from a peer that has not proved its identity

Cause: a replayed hello establishes a session, after which the decoder accepted frames of 4 MiB, and kept their memory as they arrived, although the sender can't sign the frame that proves its identity.

Change: the decoder of a session accepts payloads up to the size of a hello until the second hello has been verified.

Measured: the new case "a replayed hello doesn't permit a large frame" passes, and so do the cases of hellos in turmericlane_net (5 of 5).

--- a/modules/turmericlane_net/peers/peer_session.cpp
+++ b/modules/turmericlane_net/peers/peer_session.cpp
@@ -33,7 +33,9 @@
     , role_(role)
     , own_bundle_version_(own_bundle_version)
     , authenticator_(role, settings.keys, make_session_nonce())
-    , decoder_(authenticator_)
+    // A replayed hello establishes the session, but its sender can't sign the
+    // frame that has to follow. Until then a peer may send only hellos.
+    , decoder_(authenticator_, hello_payload_limit_bytes)
     , encoder_(authenticator_)
 {
 }
@@ -204,6 +206,7 @@
         phase_ = phase::open;
     }
     was_opened_ = true;
+    decoder_.set_payload_limit(frame_payload_limit_bytes);
     listener_.on_session_open(shared_from_this());
     return true;
 }
--- a/modules/turmericlane_net/tests/peer_tests.cpp
+++ b/modules/turmericlane_net/tests/peer_tests.cpp
@@ -320,6 +320,27 @@
     CHECK(target.all_closed_connections() == 2);
 }
 
+// Guards against memory for the largest frame on connections that only replay a
+// recorded hello.
+TEST_CASE("a replayed hello doesn't permit a large frame")
+{
+    test_instance target(make_settings(1));
+    raw_peer recorded_peer(target.network.port(), make_key(1));
+    raw_peer replaying_peer(target.network.port(), make_key(1));
+    replaying_peer.write(recorded_peer.make_hello());
+    // The other side has accepted the hello and sends its own.
+    REQUIRE(replaying_peer.read_byte());
+    frame_header header;
+    header.payload_bytes = hello_payload_limit_bytes + 8;
+    header.type = static_cast<std::uint8_t>(frame_type::bundle_full);
+    header.sequence = 1;
+    replaying_peer.write(header.pack());
+    replaying_peer.read_until_closed();
+    target.network.stop();
+    CHECK(target.closed_connections(reason::frame_too_large) == 1);
+    CHECK(target.events.connected_peers().empty());
+}
+
 TEST_CASE("a frame that arrives too slowly closes its session")
 {
     auto settings = make_settings(1);
--- a/modules/turmericlane_net/tests/raw_peer.h
+++ b/modules/turmericlane_net/tests/raw_peer.h
@@ -63,6 +63,14 @@
         return read_hello(false);
     }
 
+    /** Waits for a byte. Returns false if the connection is closed. */
+    bool read_byte()
+    {
+        std::uint8_t byte = 0;
+        boost::system::error_code ec;
+        return socket_.read_some(boost::asio::buffer(&byte, 1), ec) == 1;
+    }
+
     /** Reads until the connection is closed. Returns the number of bytes. */
     std::size_t read_until_closed()
     {
--- a/modules/turmericlane_wire/frame/frame_decoder.h
+++ b/modules/turmericlane_wire/frame/frame_decoder.h
@@ -42,6 +42,13 @@
         session_authenticator& session,
         std::size_t payload_limit_bytes = frame_payload_limit_bytes);
 
+    /** Changes the longest accepted payload, from the next frame on.
+        @param bytes  at most frame_payload_limit_bytes */
+    void set_payload_limit(std::size_t bytes) noexcept
+    {
+        payload_limit_bytes_ = bytes;
+    }
+
     /** Returns space for received bytes. It holds the known rest of the current
         frame, but at most 256 KiB more than has been received, so that memory
         grows only with the bytes that a peer really sends. Frames that were
