Limit the peers that have not proved their identity

Cause: connections at the port for peers that send no hello took up to 8,192 descriptors for two seconds each, more than a process may open.

Change: at most unproven_session_limit incoming sessions (256) wait for their proof; above that the oldest of them is closed, so that a peer can still connect.

Measured: the new case "above the limit the oldest peer without proof is closed" passes.

--- a/modules/turmericlane_net/peers/peer_network.cpp
+++ b/modules/turmericlane_net/peers/peer_network.cpp
@@ -118,6 +118,10 @@
 
     void on_session_open(const std::shared_ptr<peer_session>& session) override
     {
+        {
+            std::lock_guard lock(mutex_);
+            unproven_by_id_.erase(session->identity().session_id);
+        }
         table_.mark_open(session);
         listener_.on_connected(session->identity());
     }
@@ -141,6 +145,7 @@
         if (was_open)
             listener_.on_closed(session->identity(), cause);
         std::lock_guard lock(mutex_);
+        unproven_by_id_.erase(session->identity().session_id);
         session_removed_.notify_all();
     }
 
@@ -162,8 +167,23 @@
         peer_address remote_address{
             peer_endpoint.address().to_string(), peer_endpoint.port()};
         auto session = make_session(std::move(socket), remote_address, false);
-        if (session)
-            session->start();
+        if (!session)
+            return;
+        limit_unproven_sessions(session);
+        session->start();
+    }
+
+    /** Lists a new session and closes the oldest one that has not proved its
+        identity if there are too many. */
+    void limit_unproven_sessions(const std::shared_ptr<peer_session>& session)
+    {
+        std::lock_guard lock(mutex_);
+        unproven_by_id_.emplace(session->identity().session_id, session);
+        if (unproven_by_id_.size() <= settings_.unproven_session_limit)
+            return;
+        const auto oldest = unproven_by_id_.begin();
+        oldest->second->close(reason::peer_too_slow);
+        unproven_by_id_.erase(oldest);
     }
 
     std::shared_ptr<peer_session> make_session(
@@ -194,6 +214,9 @@
     // Guarded by mutex_.
     std::condition_variable session_removed_;
     std::map<peer_address, std::shared_ptr<peer_client>> clients_;
+    /** Incoming sessions that are not open yet, in the order of their ids,
+       which is that of their arrival. */
+    std::map<std::uint64_t, std::shared_ptr<peer_session>> unproven_by_id_;
     bool is_running_ = false;
 };
 
--- a/modules/turmericlane_net/peers/peer_settings.h
+++ b/modules/turmericlane_net/peers/peer_settings.h
@@ -27,6 +27,10 @@
     /** Limit of the sessions, authenticated or not; further connections are
         closed at once. */
     std::size_t session_limit = 8192;
+    /** Limit of the incoming sessions whose peer has not proved its identity.
+        Above it the oldest of them is closed, so that connections without a
+        hello leave descriptors to others. */
+    std::size_t unproven_session_limit = 256;
     /** Time from the connect until the peer must have proved its identity. */
     std::chrono::milliseconds hello_timeout{2000};
     /** Time from the first byte of a frame to its last. */
--- a/modules/turmericlane_net/tests/peer_tests.cpp
+++ b/modules/turmericlane_net/tests/peer_tests.cpp
@@ -341,6 +341,24 @@
     CHECK(target.events.connected_peers().empty());
 }
 
+// Guards against connections without a hello that keep peers out.
+TEST_CASE("above the limit the oldest peer without proof is closed")
+{
+    auto settings = make_settings(1);
+    settings.unproven_session_limit = 1;
+    test_instance target(settings);
+    raw_peer proved_peer(target.network.port(), make_key(1));
+    REQUIRE(proved_peer.complete_handshake());
+    REQUIRE(target.events.wait_for_connections(1));
+    raw_peer silent_peer(target.network.port(), make_key(1));
+    raw_peer other_peer(target.network.port(), make_key(1));
+    CHECK(silent_peer.read_until_closed() == 0);
+    CHECK(other_peer.complete_handshake());
+    CHECK(target.events.wait_for_connections(2));
+    CHECK(target.network.session_count() == 2);
+    CHECK(target.closed_connections(reason::peer_too_slow) == 1);
+}
+
 TEST_CASE("a frame that arrives too slowly closes its session")
 {
     auto settings = make_settings(1);
