Decision class for traffic between data centres

Cause: replica_selector adds a constant to the cost of a replica in another data centre, whatever the distance and the load on either side.

Change: data_centre_balance decides, for one service and destination, which share of the requests to send there and why: the share at which the own searchers serve what arrives, in steps, within the spare capacity there divided by the instances that decide alike; zero at once if the destination gets into trouble. It is not used yet.

--- a/modules/turmericlane_forwarding/turmericlane_forwarding.h
+++ b/modules/turmericlane_forwarding/turmericlane_forwarding.h
@@ -18,6 +18,7 @@
 #include "gather/answer_rule.h"
 #include "gather/record_merge.h"
 #include "model/route_configuration.h"
+#include "routing/data_centre_balance.h"
 #include "routing/region_map.h"
 #include "routing/route_table.h"
 #include "routing/weighted_split.h"
