Shares of other data centres instead of a constant, where balancing is on

Cause: with the constant surcharge of 0.8 a replica in another data centre is used whenever the own one has some load or a slow answer, whatever the distance; all instances see a new queue at once and leave together.

Change: data_centre_traffic measures work time, distance, load and rate by service and data centre from the answers and updates a data_centre_balance for each. replica_selector sends a first attempt to another data centre when error diffusion says that it is its turn; any other attempt stays, unless no own replica is suitable, or it is slow or fails and the best elsewhere costs 0.8 less. Without data_centre_traffic (default) the choice is unchanged, in the same order of random numbers and sums. data_centre_balance starts only after two steps and with a share of 0.1, and is bounded while the own rate is not known: a chance queue started a share of 0.185 at 0.75 of the capacity.

--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -104,7 +104,14 @@
     , searchers_(searchers)
     , actions_(actions)
     , listener_(listener)
-    , selector_(settings.data_centre, settings.seed)
+    , traffic_(
+          settings.data_centre,
+          settings.balance,
+          searchers.evacuated_data_centres())
+    , selector_(
+          settings.data_centre,
+          settings.seed,
+          settings.balance.is_enabled ? &traffic_ : nullptr)
     , availability_(time, searchers, settings.regions, settings.seed)
     , budget_(settings.extra_attempts, time)
 {
@@ -193,6 +200,7 @@
     case attempt_outcome::answered:
         target.on_answer(latency, ended_attempt.timing->median_latency(), now);
         ended_attempt.timing->on_latency(latency);
+        traffic_.on_answer(target, latency, now);
         break;
     case attempt_outcome::rejected:
         target.on_rejected(now);
@@ -437,6 +445,8 @@
         availability_.candidates(*state.request.matched_route, *part.service);
     replica_selector::attempt_needs needs;
     needs.tried_searchers = part.tried_searchers;
+    needs.time_left =
+        state.arrival_time + state.limits.target_time - clock_.now();
     auto selection = selector_.choose(replicas, needs, clock_.now());
     if (selection.result == replica_selector::outcome::none &&
         part.running_attempts == 0 && !part.tried_searchers.empty())
--- a/modules/turmericlane_forwarding/engine/forward_engine.h
+++ b/modules/turmericlane_forwarding/engine/forward_engine.h
@@ -29,6 +29,7 @@
     extra_attempt_limits extra_attempts;
     /** Region of each data centre. */
     region_map regions;
+    balance_settings balance;
 };
 
 /** Receives events of requests, for logs and metrics. */
@@ -105,6 +106,19 @@
         @see extra_attempt_budget::set_instances */
     void set_instances(double instances);
 
+    /** Sets the number of live instances in the data centre of this one. */
+    void set_local_instances(std::uint32_t instances)
+    {
+        traffic_.set_instances(instances);
+    }
+
+    /** Returns what changed in the shares that are sent to other data centres
+        since the last call. */
+    std::vector<balance_change> take_balance_changes()
+    {
+        return traffic_.take_changes();
+    }
+
     /** Call at or after next_wakeup(). */
     void on_timer();
 
@@ -217,6 +231,7 @@
     const searcher_registry& searchers_;
     forward_actions& actions_;
     forward_listener& listener_;
+    data_centre_traffic traffic_;
     replica_selector selector_;
     searcher_availability availability_;
     extra_attempt_budget budget_;
--- a/modules/turmericlane_forwarding/routing/data_centre_balance.cpp
+++ b/modules/turmericlane_forwarding/routing/data_centre_balance.cpp
@@ -13,7 +13,8 @@
 
 /** Largest change of the share at once. */
 constexpr double share_step = 0.1;
-/** Largest share for a destination whose load is not known. */
+/** Largest share for a destination whose load is not known, or while the own
+    demand is not. */
 constexpr double trial_share = 0.05;
 /** Smaller differences from the wanted share are ignored. */
 constexpr double share_tolerance = 0.02;
@@ -30,11 +31,15 @@
 constexpr double aimed_wait = 0.5;
 /** Requests that wait beyond the aimed number are worked off in this
     time. */
-constexpr double catch_up_time_s = 0.3;
+constexpr double catch_up_time_s = 0.2;
 /** No increase follows for this time after the share dropped to zero. */
 constexpr auto drop_pause = 1s;
 /** Time to be saved before sending starts, relative to the work. */
 constexpr double start_gain = 0.5;
+/** Sending starts with at least this share, and after it was worthwhile for so
+    many steps: chance queues are short, while those of an overload grow. */
+constexpr double min_start_share = 0.1;
+constexpr std::uint32_t start_steps = 2;
 /** A destination whose expected time grows by more, relative to the work,
     became slow. */
 constexpr double slow_growth = 0.5;
@@ -132,8 +137,12 @@
     const auto needed_gain = share_ > 0.0 ? 0.0 : work_time * start_gain;
     const auto wanted_share = balanced_share(
         demand, inside, share_ > 0.0 ? outside_time + price : outside_time);
-    if (wanted_share <= 0.0 ||
-        (share_ <= 0.0 && inside_time - outside_time <= needed_gain))
+    const auto is_worthwhile =
+        share_ > 0.0 ? wanted_share > 0.0
+                     : wanted_share >= min_start_share &&
+                           inside_time - outside_time > needed_gain;
+    worthwhile_steps_ = is_worthwhile ? worthwhile_steps_ + 1 : 0;
+    if (!is_worthwhile || (share_ <= 0.0 && worthwhile_steps_ < start_steps))
         reason_ = balance_reason::inside_faster;
     else if (inside_time - outside_time - price <= needed_gain && share_ <= 0.0)
         reason_ = balance_reason::price;
@@ -165,7 +174,7 @@
                               outside.work_time_factor;
     if (needed_slots > 0.0)
         result = std::min(result, share_ + room / needed_slots);
-    if (!outside.is_load_known)
+    if (!outside.is_load_known || needed_slots <= 0.0)
         result = std::min(result, trial_share);
     return std::max(result, 0.0);
 }
--- a/modules/turmericlane_forwarding/routing/data_centre_balance.h
+++ b/modules/turmericlane_forwarding/routing/data_centre_balance.h
@@ -61,7 +61,7 @@
 {
     /** Usual time of a request in a slot; above zero. */
     duration work_time{};
-    /** Requests for each second at this instance. */
+    /** Requests for each second at this instance; zero if not known. */
     double request_rate = 0.0;
     /** Live instances of the own data centre; at least 1. */
     std::uint32_t instances = 1;
@@ -133,6 +133,8 @@
     double share_ = 0.0;
     balance_reason reason_ = balance_reason::inside_faster;
     time_point next_step_{};
+    /** Consecutive steps at which sending was worthwhile. */
+    std::uint32_t worthwhile_steps_ = 0;
     /** Smoothed arrivals inside, relative to what its slots complete. */
     double arrivals_ = 0.0;
     double last_load_ = 0.0;
--- a/modules/turmericlane_forwarding/searchers/searcher.cpp
+++ b/modules/turmericlane_forwarding/searchers/searcher.cpp
@@ -281,6 +281,19 @@
     return total;
 }
 
+double searcher::fault_cost(time_point now) const noexcept
+{
+    // Latencies grow with the requests that wait for a slot.
+    const auto own_slowness = slowness(now) / std::max(1.0, utilisation(now));
+    auto total = std::max(1.0, own_slowness) * work_time_factor(now);
+    if (is_warming_up(now))
+        total *= warm_up_factor;
+    total += failure_cost * failure_rate(now);
+    if (is_avoided(now))
+        total += overdue_cost;
+    return total;
+}
+
 duration searcher::unanswered_time(time_point now) const noexcept
 {
     return in_flight_ == 0 ? duration::zero() : now - wait_start_;
--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -222,18 +222,35 @@
         usual speed. */
     double cost(time_point now) const noexcept;
 
+    /** Returns the part of the cost that the searcher itself causes: its speed
+        and failures, without the load. */
+    double fault_cost(time_point now) const noexcept;
+
+    /** Returns the requests that it runs or has waiting, for each slot. */
+    double utilisation(time_point now) const noexcept;
+
+    /** Returns the time that work takes on its host, relative to the usual
+        time. */
+    double work_time_factor(time_point now) const noexcept;
+
+    /** True if it does not answer in time, or did so lately. */
+    bool is_avoided(time_point now) const noexcept;
+
+    /** True if it is slow because it has just started. */
+    bool is_warming_up(time_point now) const noexcept
+    {
+        return now < warm_up_end_;
+    }
+
     /** Returns for how long requests in flight have had no answer; zero if none
         is in flight. */
     duration unanswered_time(time_point now) const noexcept;
 
 private:
-    bool is_avoided(time_point now) const noexcept;
     void record_request(bool has_failed, time_point now) noexcept;
     void grow_window(time_point now) noexcept;
     double slowness(time_point now) const noexcept;
     double failure_rate(time_point now) const noexcept;
-    double utilisation(time_point now) const noexcept;
-    double work_time_factor(time_point now) const noexcept;
 
     searcher_entry entry_;
     bool is_removed_ = false;
--- a/modules/turmericlane_forwarding/tests/data_centre_balance_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/data_centre_balance_tests.cpp
@@ -401,7 +401,7 @@
     time_point now{1h};
     auto outside = make_state(0.0, 1ms);
     outside.is_load_known = false;
-    settle(balance, make_state(3.0), outside, now);
+    settle(balance, make_state(6.0), outside, now);
     CHECK(balance.share() > 0.0);
     CHECK(balance.share() <= 0.05);
 }
--- a/modules/turmericlane_forwarding/tests/engine_simulation.cpp
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.cpp
@@ -8,10 +8,10 @@
 using namespace std::chrono_literals;
 
 engine_simulation::engine_simulation(
-    extra_attempt_limits limits, region_map regions)
+    extra_attempt_limits limits, region_map regions, balance_settings balance)
     : registry(time, *this)
     , engine(
-          {"north", 7, limits, std::move(regions)},
+          {"north", 7, limits, std::move(regions), balance},
           time,
           registry,
           *this,
--- a/modules/turmericlane_forwarding/tests/engine_simulation.h
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.h
@@ -39,7 +39,9 @@
     };
 
     explicit engine_simulation(
-        extra_attempt_limits limits = {0.2, 54.0}, region_map regions = {});
+        extra_attempt_limits limits = {0.2, 54.0},
+        region_map regions = {},
+        balance_settings balance = {});
 
     /** Adds a searcher with room for eight requests in flight. */
     std::shared_ptr<searcher>
--- a/modules/turmericlane_forwarding/turmericlane_forwarding.h
+++ b/modules/turmericlane_forwarding/turmericlane_forwarding.h
@@ -23,6 +23,7 @@
 #include "routing/route_table.h"
 #include "routing/weighted_split.h"
 #include "searchers/connection_share.h"
+#include "searchers/data_centre_traffic.h"
 #include "searchers/fleet_division.h"
 #include "searchers/searcher_availability.h"
 #include "searchers/searcher_registry.h"
