--- a/modules/turmericlane_forwarding/tests/engine_simulation.cpp
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.cpp
@@ -8,10 +8,13 @@
 using namespace std::chrono_literals;
 
 engine_simulation::engine_simulation(
-    extra_attempt_limits limits, region_map regions, bool shares_room)
+    extra_attempt_limits limits,
+    region_map regions,
+    bool shares_room,
+    balance_settings balance)
     : registry(time, *this)
     , engine(
-          {"north", 7, limits, std::move(regions), shares_room},
+          {"north", 7, limits, std::move(regions), shares_room, balance},
           time,
           registry,
           *this,
--- a/modules/turmericlane_forwarding/tests/engine_simulation.h
+++ b/modules/turmericlane_forwarding/tests/engine_simulation.h
@@ -41,7 +41,8 @@
     explicit engine_simulation(
         extra_attempt_limits limits = {0.2, 54.0},
         region_map regions = {},
-        bool shares_room = false);
+        bool shares_room = false,
+        balance_settings balance = {});
 
     /** Adds a searcher with room for eight requests in flight. */
     std::shared_ptr<searcher>
