Pace cold searchers in the gateway

cold_searchers tells the searchers of services with a warm-up rate until when they are cold: by their entries, by any of their answers (header Turmericlane-Warmup-Ms, at most an hour; a value that can't be used is an odd field) or by the end of their data centre's evacuation. It renews this instance's share for the cold ones with each choice of instances. Services without a rate are left alone.

Without the calls on_statement and on_evacuation_ended, the two cases that run a whole gateway fail.

--- a/modules/turmericlane_gateway/gateway/caller_directory.h
+++ b/modules/turmericlane_gateway/gateway/caller_directory.h
@@ -76,6 +76,12 @@
         std::size_t max_count,
         const std::function<bool(const std::string&)>& is_preferred);
 
+    /** Returns the chosen instances, best first. */
+    std::span<const member> named_members() const noexcept
+    {
+        return named_members_;
+    }
+
     /** Returns how long callers may use the addresses. The time is shorter
         while the number of known instances changes a lot: the addresses are
         then chosen from a part of the fleet and differ between instances.
--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -42,6 +42,7 @@
     , recorder_(log, metrics_)
     , shutdown_recorder_(log)
     , registry_(time, *this)
+    , cold_searchers_(time, registry_, log, settings_.nonce)
     , response_memory_(max_response_bytes(settings_))
     , pool_(loop, time, settings_.names, response_memory_, *this)
     , engine_(
@@ -160,6 +161,7 @@
     metrics_.searchers.set(static_cast<double>(registry_.size()));
     metrics_.evacuated_data_centres.set(
         static_cast<double>(registry_.evacuated_data_centres().size()));
+    cold_searchers_.report(metrics_);
     metrics_.searcher_connections.set(
         static_cast<double>(pool_.connection_count()));
     metrics_.searcher_connections_opened.set(
@@ -197,7 +199,10 @@
     if (auto* configuration = std::get_if<route_configuration>(&*change))
         apply_configuration(std::move(*configuration));
     else if (const auto* entry = std::get_if<searcher_entry>(&*change))
+    {
         registry_.on_entry(*entry);
+        cold_searchers_.on_entry(*entry);
+    }
     else if (const auto* removal = std::get_if<searcher_removal>(&*change))
         registry_.on_removed(removal->id);
     else if (const auto* order = std::get_if<evacuation_order>(&*change))
@@ -489,10 +494,11 @@
         recorder_.on_odd_field(*target, statement.odd_field);
     if (statement.quiet_time > duration::zero())
     {
-        if (!target->is_quiet(now))
+        if (!target->is_quiet_requested(now))
             recorder_.on_quiet_requested(*target, statement.quiet_time);
         target->on_quiet_requested(statement.quiet_time, now);
     }
+    cold_searchers_.on_statement(target, statement.warm_up_time);
     // Peers that heard of the departure before do not report it again.
     const auto is_known = target->is_departure_reported(now);
     if (!statement.is_leaving ||
@@ -536,6 +542,7 @@
         {{"version", static_cast<std::int64_t>(new_configuration.version)},
          {"routes",
           static_cast<std::int64_t>(new_configuration.routes.size())}});
+    cold_searchers_.on_configuration(new_configuration.services);
     plan_services();
 }
 
@@ -553,6 +560,8 @@
     choose_instances();
     if (order.is_active)
         engine_.on_searchers_lost();
+    else
+        cold_searchers_.on_evacuation_ended(order.data_centre);
 }
 
 void gateway::plan_service(const std::string& service)
@@ -564,6 +573,7 @@
         replicas,
         share_connections(limit.value_or(1), division_, replicas.size()),
         {settings_.local_endpoint.address, settings_.data_centre});
+    cold_searchers_.on_service_changed(service);
     // Before the peers are known, an instance's share of the connections is
     // too large: too many instances would connect at once.
     if (!limit || clock_.now() - start_time_ < warm_up_delay)
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "../peers/feed_cache.h"
 #include "../peers/feed_puller.h"
 #include "../peers/peer_channel.h"
+#include "../searchers/cold_searchers.h"
 #include "../searchers/searcher_pool.h"
 #include "../store/store_decoder.h"
 #include "caller_directory.h"
@@ -238,6 +239,7 @@
     request_recorder recorder_;
     shutdown_recorder shutdown_recorder_;
     searcher_registry registry_;
+    cold_searchers cold_searchers_;
     response_memory response_memory_;
     searcher_pool pool_;
     forward_engine engine_;
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -34,6 +34,12 @@
     , evacuated_data_centres(registry->gauge_of(
           "turmericlane_evacuated_data_centres",
           "Data centres that operators have evacuated."))
+    , cold_searchers(registry->gauge_of(
+          "turmericlane_cold_searchers",
+          "Cold searchers of services with a warm-up rate."))
+    , cold_searchers_without_share(registry->gauge_of(
+          "turmericlane_cold_searchers_without_share",
+          "Cold searchers to which this instance may send nothing."))
     , caller_memory_bytes(registry->gauge_of(
           "turmericlane_caller_memory_bytes",
           "Memory held for callers' requests and answers."))
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.h
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.h
@@ -48,6 +48,8 @@
     gauge& instances;
     gauge& searchers;
     gauge& evacuated_data_centres;
+    gauge& cold_searchers;
+    gauge& cold_searchers_without_share;
     gauge& caller_memory_bytes;
     gauge& caller_memory_given_up;
     gauge& searcher_connections;
--- a/modules/turmericlane_gateway/gateway/gateway_peers.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_peers.cpp
@@ -81,9 +81,12 @@
         if (it.state == member_state::live)
             live_members.push_back(std::move(it));
     }
+    const auto live_count = live_members.size();
     const auto division = directory_.choose_instances(
         std::move(live_members), registry_.count_by_data_centre(),
         instance_count_.value(), clock_.now());
+    cold_searchers_.on_fleet(
+        directory_.named_members(), live_count, instance_count_.value());
     // A leaving instance keeps its share for the callers that still use it.
     if (is_serving)
         apply_division(division);
--- a/modules/turmericlane_gateway/http/protocol_names.h
+++ b/modules/turmericlane_gateway/http/protocol_names.h
@@ -28,6 +28,8 @@
     /** In an answer 503, time in seconds for which the searcher wants no
         requests from this instance. */
     std::string retry_after;
+    /** Time in milliseconds for which the searcher is still cold. */
+    std::string warm_up;
     /** Signatures of the answers that were merged into one. */
     std::string part_signatures;
     /** Number of shards that are missing from a merged answer. */
--- a/modules/turmericlane_gateway/searchers/answer_reader.cpp
+++ b/modules/turmericlane_gateway/searchers/answer_reader.cpp
@@ -12,6 +12,32 @@
 constexpr unsigned unavailable_status = 503;
 constexpr std::chrono::duration<double> max_quiet_time =
     std::chrono::minutes(1);
+constexpr std::chrono::duration<double> max_warm_up_time =
+    std::chrono::hours(1);
+
+/** Reads a time of a header field.
+    @param units_per_second  of the field's number
+    @param max_time          largest result; more is odd
+    @param is_odd            set to true if the value cannot be used as it is */
+duration read_time(
+    std::string_view text,
+    double units_per_second,
+    std::chrono::duration<double> max_time,
+    bool& is_odd)
+{
+    double units = 0.0;
+    const auto* const end = text.data() + text.size();
+    const auto [position, ec] = std::from_chars(text.data(), end, units);
+    auto seconds = units / units_per_second;
+    is_odd = ec != std::errc() || position != end || !(seconds >= 0.0) ||
+             seconds > max_time.count();
+    if (ec == std::errc::result_out_of_range && text.front() != '-')
+        seconds = max_time.count();
+    if (position != end || !(seconds > 0.0))
+        return {};
+    return std::chrono::duration_cast<duration>(
+        std::min(std::chrono::duration<double>(seconds), max_time));
+}
 
 bool is_success(unsigned status)
 {
@@ -81,21 +107,22 @@
     statement.is_leaving = leaving == "1";
     if (!leaving.empty() && leaving != "1" && leaving != "0")
         statement.odd_field = names.leaving;
+    auto is_odd = false;
+    const auto warm_up = field(fields, names.warm_up);
+    if (!warm_up.empty())
+    {
+        constexpr double milliseconds_per_second = 1000.0;
+        statement.warm_up_time = read_time(
+            warm_up, milliseconds_per_second, max_warm_up_time, is_odd);
+        if (is_odd)
+            statement.odd_field = names.warm_up;
+    }
     const auto retry_after = field(fields, names.retry_after);
     if (status != unavailable_status || retry_after.empty())
         return statement;
-    double seconds = 0.0;
-    const auto* const end = retry_after.data() + retry_after.size();
-    const auto [position, ec] =
-        std::from_chars(retry_after.data(), end, seconds);
-    if (ec != std::errc() || position != end || !(seconds >= 0.0) ||
-        seconds > max_quiet_time.count())
+    statement.quiet_time = read_time(retry_after, 1.0, max_quiet_time, is_odd);
+    if (is_odd)
         statement.odd_field = names.retry_after;
-    if (ec == std::errc::result_out_of_range && retry_after.front() != '-')
-        seconds = max_quiet_time.count();
-    if (position == end && seconds > 0.0)
-        statement.quiet_time = std::chrono::duration_cast<duration>(
-            std::min(std::chrono::duration<double>(seconds), max_quiet_time));
     return statement;
 }
 
--- a/modules/turmericlane_gateway/searchers/answer_reader.h
+++ b/modules/turmericlane_gateway/searchers/answer_reader.h
@@ -25,13 +25,16 @@
     /** Time for which the searcher wants no requests from this instance; zero
         if it did not say so. */
     duration quiet_time{};
+    /** Time for which the searcher is still cold; zero if it did not say so. */
+    duration warm_up_time{};
     /** Name of a field whose value could not be used; empty if there is
         none. */
     std::string_view odd_field;
 };
 
 /** Reads the statement of an answer about its searcher. A quiet time is at most
-    a minute, so that one odd value cannot hide a searcher for longer.
+    a minute, and a warm-up time at most an hour, so that one odd value cannot
+    hide a searcher for longer.
     @param status  status of the answer
     @param names   must outlive the result */
 searcher_statement read_statement(
--- a/modules/turmericlane_gateway/searchers/searcher_pool.cpp
+++ b/modules/turmericlane_gateway/searchers/searcher_pool.cpp
@@ -206,7 +206,8 @@
     {
         const auto statement = read_statement(status, fields, pool_.names_);
         if (statement.is_leaving || !statement.odd_field.empty() ||
-            statement.quiet_time > duration::zero())
+            statement.quiet_time > duration::zero() ||
+            statement.warm_up_time > duration::zero())
             pool_.listener_.statement_received(target_, statement);
     }
 
--- a/modules/turmericlane_gateway/tests/gateway_fixture.cpp
+++ b/modules/turmericlane_gateway/tests/gateway_fixture.cpp
@@ -84,6 +84,8 @@
     for (const auto& it : gathered_route.shards)
         configuration.services.push_back({it, 20});
     configuration.services.push_back({"one", 20});
+    configuration.services.back().warm_up_rate = single_service_warm_up_rate;
+    configuration.services.back().warm_up_time = 60s;
     store.changes["config"] = configuration;
     REQUIRE_FALSE(instance.start().has_value());
     instance.follow_store(store, store);
--- a/modules/turmericlane_gateway/tests/gateway_fixture.h
+++ b/modules/turmericlane_gateway/tests/gateway_fixture.h
@@ -83,6 +83,8 @@
     /** Of the route to the service "one"; set before start. */
     execution_semantics single_route_semantics =
         execution_semantics::idempotent;
+    /** Warm-up rate of the service "one"; set before start. */
+    double single_service_warm_up_rate = 0.0;
     event_context loop;
     monotonic_clock time;
     int log_file;
--- a/modules/turmericlane_gateway/tests/loopback.cpp
+++ b/modules/turmericlane_gateway/tests/loopback.cpp
@@ -26,6 +26,7 @@
     names.signature = "X-Signature";
     names.not_run = "X-Not-Run";
     names.load = "X-Load";
+    names.warm_up = "X-Warm-Up";
     names.leaving = "X-Leaving";
     names.retry_after = "Retry-After";
     names.part_signatures = "X-Parts";
