--- a/modules/turmericlane_forwarding/tests/warm_up_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/warm_up_tests.cpp
@@ -252,12 +252,12 @@
     CHECK(simulation.results[early].retry_after <= 1400ms);
     // These arrive shortly before it.
     simulation.run_for(950ms);
-    std::vector<request_handle> archive_requests;
-    std::vector<request_handle> urgent_requests;
-    for (int i = 0; i < 4; ++i)
-        archive_requests.push_back(simulation.start_request(archive_route));
-    for (int i = 0; i < 2; ++i)
-        urgent_requests.push_back(simulation.start_request(urgent_route));
+    std::vector<request_handle> archive_requests(4);
+    std::vector<request_handle> urgent_requests(2);
+    for (auto& it : archive_requests)
+        it = simulation.start_request(archive_route);
+    for (auto& it : urgent_requests)
+        it = simulation.start_request(urgent_route);
     simulation.run_for(200ms);
     for (const auto it : urgent_requests)
     {
