Test of gathered requests where the room is shared

A gathered request waits for several services at once, and dropping it ends the state that its other sub-requests refer to.

--- a/modules/turmericlane_forwarding/tests/contention_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/contention_tests.cpp
@@ -103,3 +103,39 @@
         CHECK(after.urgent.late_refusals == 0);
     }
 }
+
+// Guards against gathered requests that are lost, or refused late, where the
+// room of several services is divided.
+TEST_CASE("every gathered request in a burst is answered or refused early")
+{
+    engine_simulation simulation({0.2, 54.0}, {}, true);
+    for (const auto* it : {"s0", "s1", "s2"})
+    {
+        const auto id = std::string(it) + "-0";
+        simulation.add_searcher(it, id);
+        simulation.scripts[id] = [] {
+            return engine_simulation::behaviour{
+                attempt_outcome::answered, 20ms};
+        };
+    }
+    const auto tested_route = simulation.make_gathered_route(3, 1.0);
+    // 600 a second where the searchers can do 400.
+    for (int i = 0; i < 600; ++i)
+    {
+        simulation.start_request(tested_route, 1s, "r" + std::to_string(i));
+        if (i % 3 == 2)
+            simulation.run_for(5ms);
+    }
+    simulation.run_for(3s);
+    CHECK(simulation.results.size() == 600);
+    int answered = 0;
+    for (const auto& [id, result] : simulation.results)
+    {
+        answered += result.failure == forward_failure::none ? 1 : 0;
+        const auto latency = simulation.latencies[id];
+        CHECK((result.execution != outcome::not_run || latency <= 25ms));
+        CHECK((result.failure != forward_failure::none || latency <= 200ms));
+    }
+    CHECK(answered >= 300);
+    CHECK(simulation.engine.in_flight() == 0);
+}
