Settings with the contract pressure share the room

The gateway shares the room in front of services among ranks where the settings file's contracts list contains pressure; the default is as before.

--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -46,7 +46,7 @@
     , pool_(loop, time, settings_.names, response_memory_, *this)
     , engine_(
           {settings_.data_centre, settings_.nonce, settings_.repeats,
-           settings_.regions},
+           settings_.regions, settings_.shares_room},
           time,
           registry_,
           *this,
@@ -160,6 +160,7 @@
     metrics_.searchers.set(static_cast<double>(registry_.size()));
     metrics_.evacuated_data_centres.set(
         static_cast<double>(registry_.evacuated_data_centres().size()));
+    metrics_.set_room_shares(engine_.room_shares());
     metrics_.searcher_connections.set(
         static_cast<double>(pool_.connection_count()));
     metrics_.searcher_connections_opened.set(
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -79,6 +79,28 @@
         .record(latency);
 }
 
+void gateway_metrics::set_room_shares(
+    const std::vector<std::pair<std::string, service_room::rank_share>>& shares)
+{
+    for (const auto& [service, share] : shares)
+    {
+        const auto rank = std::to_string(share.rank);
+        for (const auto& [kind, value] :
+             {std::pair("minimum", share.minimum),
+              std::pair("used", share.used), std::pair("served", share.served)})
+        {
+            registry_
+                ->gauge_of(
+                    "turmericlane_room_share",
+                    "Room of a rank in front of a service, 0 to 1: its minimum "
+                    "share, the share of the recent starts, and the admitted "
+                    "share of its recent requests.",
+                    {{"service", service}, {"rank", rank}, {"kind", kind}})
+                .set(value);
+        }
+    }
+}
+
 void gateway_metrics::on_local_refusal(unsigned status)
 {
     registry_
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.h
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.h
@@ -24,6 +24,11 @@
     void
     on_result(const forward_result& result, duration latency, bool is_in_time);
 
+    /** Sets the shares of the ranks in the room of each service. */
+    void set_room_shares(
+        const std::vector<std::pair<std::string, service_room::rank_share>>&
+            shares);
+
     /** Counts a request that was answered without being forwarded.
         @param status  HTTP status of the answer */
     void on_local_refusal(unsigned status);
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -20,6 +20,9 @@
     std::string data_centre;
     /** Region of each data centre; empty if none has a region. */
     region_map regions;
+    /** True if ranks share the room in front of services.
+        @see room_control */
+    bool shares_room = false;
     /** Address of this instance, with the port for callers and the one for
         peers. */
     endpoint local_endpoint;
