--- a/modules/turmericlane_forwarding/engine/forward_engine.cpp
+++ b/modules/turmericlane_forwarding/engine/forward_engine.cpp
@@ -200,29 +200,6 @@
     dispatch_waiting(service);
 }
 
-void forward_engine::on_searchers_lost()
-{
-    std::vector<waiting_part> lost_parts;
-    for (auto& [service, ranks] : queues_.services())
-    {
-        if (!searchers_.service_searchers(service).empty())
-            continue;
-        for (const auto& [rank, parts] : ranks)
-            lost_parts.insert(lost_parts.end(), parts.begin(), parts.end());
-        ranks.clear();
-    }
-    for (const auto& it : lost_parts)
-    {
-        const auto match = requests_.find(it.request);
-        if (match == requests_.end() ||
-            match->second.parts[it.part_index].state != part_state::waiting)
-            continue;
-        fail_part(match->second, it.part_index);
-        if (!try_finish(match->second))
-            schedule_check(match->second);
-    }
-}
-
 void forward_engine::on_lag(duration lag)
 {
     admission_.on_lag(lag);
@@ -617,47 +594,4 @@
     }
 }
 
-void forward_engine::dispatch_waiting(const std::string& service)
-{
-    if (admission_.is_room_controlled())
-    {
-        dispatch_by_share(service);
-        return;
-    }
-    auto* const ranks = queues_.find(service);
-    if (ranks == nullptr)
-        return;
-    for (auto& [rank, parts] : *ranks)
-    {
-        auto position = parts.begin();
-        while (position != parts.end())
-        {
-            const auto next_part = *position;
-            const auto it = requests_.find(next_part.request);
-            if (it == requests_.end() ||
-                it->second.parts[next_part.part_index].state !=
-                    part_state::waiting)
-            {
-                position = parts.erase(position);
-                continue;
-            }
-            const auto& part = it->second.parts[next_part.part_index];
-            const auto selection = select_searcher(it->second, part);
-            if (!selection.target && part.tried_searchers.empty() &&
-                it->second.request.matched_route->home_regions.empty())
-                return;
-            if (!selection.target)
-            {
-                // A searcher that this sub-request may not use, or not again,
-                // may suit the next one.
-                ++position;
-                continue;
-            }
-            position = parts.erase(position);
-            send(it->second, next_part.part_index, selection.target);
-            schedule_check(it->second);
-        }
-    }
-}
-
 } // namespace turmericlane
