--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -47,7 +47,7 @@
     , pool_(loop, time, settings_.names, response_memory_, *this)
     , engine_(
           {settings_.data_centre, settings_.nonce, settings_.repeats,
-           settings_.regions},
+           settings_.regions, settings_.shares_room},
           time,
           registry_,
           *this,
@@ -162,6 +162,7 @@
     metrics_.evacuated_data_centres.set(
         static_cast<double>(registry_.evacuated_data_centres().size()));
     cold_searchers_.report(metrics_);
+    metrics_.set_room_shares(engine_.room_shares());
     metrics_.searcher_connections.set(
         static_cast<double>(pool_.connection_count()));
     metrics_.searcher_connections_opened.set(
