--- a/modules/turmericlane_forwarding/tests/data_centre_traffic_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/data_centre_traffic_tests.cpp
@@ -83,7 +83,7 @@
 {
 public:
     explicit three_data_centres(bool is_balanced, std::uint64_t seed = 1)
-        : simulation({0.2, 54.0}, {}, {is_balanced, duration::zero()})
+        : simulation({0.2, 54.0}, {}, false, {is_balanced, duration::zero()})
     {
         for (std::size_t i = 0; i < 3; ++i)
         {
