--- a/modules/turmericlane_gateway/gateway/gateway.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway.cpp
@@ -41,12 +41,13 @@
     , log_(log)
     , recorder_(log, metrics_)
     , shutdown_recorder_(log)
+    , balance_recorder_(log, metrics_)
     , registry_(time, *this)
     , response_memory_(max_response_bytes(settings_))
     , pool_(loop, time, settings_.names, response_memory_, *this)
     , engine_(
           {settings_.data_centre, settings_.nonce, settings_.repeats,
-           settings_.regions},
+           settings_.regions, settings_.balance},
           time,
           registry_,
           *this,
@@ -626,6 +627,7 @@
                 pool_.probe(it);
         });
     directory_.measure(now);
+    balance_recorder_.record(engine_.take_balance_changes());
     update_instance_count();
     if (shutdown_.phase() == shutdown_phase::stopped)
         finish_stop();
--- a/modules/turmericlane_gateway/gateway/gateway.h
+++ b/modules/turmericlane_gateway/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../log/balance_recorder.h"
 #include "../log/json_log.h"
 #include "../log/request_recorder.h"
 #include "../log/shutdown_recorder.h"
@@ -237,6 +238,7 @@
     gateway_metrics metrics_;
     request_recorder recorder_;
     shutdown_recorder shutdown_recorder_;
+    balance_recorder balance_recorder_;
     searcher_registry registry_;
     response_memory response_memory_;
     searcher_pool pool_;
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.cpp
@@ -99,6 +99,24 @@
         .add();
 }
 
+void gateway_metrics::on_balance_changed(const balance_change& change)
+{
+    registry_
+        ->gauge_of(
+            "turmericlane_outside_share",
+            "Share of the requests that is sent to another data centre.",
+            {{"service", change.service}, {"destination", change.destination}})
+        .set(change.share);
+    if (!change.is_reason_new)
+        return;
+    registry_
+        ->counter_of(
+            "turmericlane_outside_share_reasons_total",
+            "Changes of the reason for such a share, by the new reason.",
+            {{"reason", std::string(to_string(change.reason))}})
+        .add();
+}
+
 void gateway_metrics::on_connection_cut(caller_connection_end cause)
 {
     registry_
--- a/modules/turmericlane_gateway/gateway/gateway_metrics.h
+++ b/modules/turmericlane_gateway/gateway/gateway_metrics.h
@@ -35,6 +35,9 @@
         @param is_hedge  true for a hedge, false for a retry */
     void on_extra_attempt(bool is_hedge);
 
+    /** Records a share of requests sent to another data centre. */
+    void on_balance_changed(const balance_change& change);
+
     /** Counts a caller's connection that ended before the answer was wholly
         delivered. */
     void on_connection_cut(caller_connection_end cause);
--- a/modules/turmericlane_gateway/gateway/gateway_peers.cpp
+++ b/modules/turmericlane_gateway/gateway/gateway_peers.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace turmericlane
@@ -81,6 +82,10 @@
         if (it.state == member_state::live)
             live_members.push_back(std::move(it));
     }
+    engine_.set_local_instances(static_cast<std::uint32_t>(std::count_if(
+        live_members.begin(), live_members.end(),
+        [this](const member& it)
+        { return it.data_centre == settings_.data_centre; })));
     const auto division = directory_.choose_instances(
         std::move(live_members), registry_.count_by_data_centre(),
         instance_count_.value(), clock_.now());
--- a/modules/turmericlane_gateway/gateway/gateway_settings.h
+++ b/modules/turmericlane_gateway/gateway/gateway_settings.h
@@ -25,6 +25,7 @@
     endpoint local_endpoint;
     protocol_names names;
     extra_attempt_limits repeats;
+    balance_settings balance;
     /** Processor share of this instance, in cores. */
     double processor_cores = 1.0;
     /** Memory that the process may use, in bytes; 0 if it is not limited. */
--- a/modules/turmericlane_gateway/log/json_log.cpp
+++ b/modules/turmericlane_gateway/log/json_log.cpp
@@ -47,6 +47,7 @@
     {gateway_event::searcher_quiet, "searcher_quiet"},
     {gateway_event::member_changed, "member_changed"},
     {gateway_event::work_divided, "work_divided"},
+    {gateway_event::balance_changed, "balance_changed"},
     {gateway_event::request_answered, "request_answered"},
     {gateway_event::request_refused, "request_refused"},
     {gateway_event::request_failed, "request_failed"},
--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -44,6 +44,7 @@
     searcher_quiet = 6203,
     member_changed = 6301,
     work_divided = 6303,
+    balance_changed = 6304,
     request_answered = 6401,
     request_refused = 6402,
     request_failed = 6403,
