--- a/modules/turmericlane_gateway/log/json_log.h
+++ b/modules/turmericlane_gateway/log/json_log.h
@@ -46,6 +46,7 @@
     member_changed = 6301,
     work_divided = 6303,
     warm_up_divided = 6304,
+    balance_changed = 6305,
     request_answered = 6401,
     request_refused = 6402,
     request_failed = 6403,
