Limit the bytes and the time of callers' requests

Cause: the HTTP library reads heads, chunked bodies, chunk heads and bodies over the limit without end, unpacks compressed bodies without limit and answers empty lines for ever. A fast sender never met the time limit, since it was checked only when no byte was there.

Change: frontend_stream receives a whole head before the library gets it, limits empty lines, head, fields and the bytes of a body, and checks the time limit before each receive; http-request-timeout-ms sets it. A refusal has a body and closes the connection. The tests' settings of body limit and idle timeout move to frontend_limits.

--- a/modules/turmericlane_net/http/frontend_server.cpp
+++ b/modules/turmericlane_net/http/frontend_server.cpp
@@ -2,6 +2,8 @@
 
 #include "frontend_stream.h"
 
+#include <boost/beast/http/status.hpp>
+
 #include <array>
 #include <cerrno>
 
@@ -54,10 +56,9 @@
 
 } // namespace
 
-frontend_server::frontend_server(
-    int listen_backlog, std::chrono::milliseconds idle_timeout)
-    : listen_backlog_(listen_backlog)
-    , idle_timeout_(idle_timeout)
+frontend_server::frontend_server(settings values, refusal_writer writer)
+    : settings_(values)
+    , refusal_writer_(std::move(writer))
     , stop_descriptor_(::eventfd(0, EFD_CLOEXEC))
 {
     set_socket_options(
@@ -83,7 +84,7 @@
     // The library listens with a backlog of 5, a constant of its build. When
     // more callers connect at the same time, the others would have to wait for
     // a TCP retransmission.
-    ::listen(listening_descriptor_, listen_backlog_);
+    ::listen(listening_descriptor_, settings_.listen_backlog);
 }
 
 void frontend_server::drain()
@@ -108,18 +109,49 @@
 
 void frontend_server::serve_connection(int socket)
 {
-    frontend_stream stream(socket, stop_descriptor_);
+    frontend_stream stream(
+        socket, stop_descriptor_, settings_.limits);
     bool is_kept_open = true;
-    while (is_kept_open && stream.wait_for_request(idle_timeout_))
+    while (is_kept_open && stream.wait_for_request())
     {
         ++requests_in_flight_;
-        bool is_closed = false;
+        is_kept_open = serve_request(stream) && !is_draining_;
+        --requests_in_flight_;
+    }
+}
+
+// Returns true if the connection can carry another request.
+bool frontend_server::serve_request(frontend_stream& stream)
+{
+    bool is_kept_open = false;
+    bool is_closed = false;
+    if (stream.read_head())
         is_kept_open =
             process_request(stream, is_draining_, is_closed, nullptr);
-        is_kept_open =
-            stream.flush() && is_kept_open && !is_closed && !is_draining_;
-        --requests_in_flight_;
+    if (stream.refusal_status() != 0)
+    {
+        write_refusal(stream);
+        is_kept_open = false;
     }
+    is_kept_open = stream.flush() && is_kept_open && !is_closed &&
+                   !stream.is_close_required();
+    stream.end_request();
+    return is_kept_open;
+}
+
+void frontend_server::write_refusal(frontend_stream& stream)
+{
+    const auto status = stream.refusal_status();
+    const auto [body, content_type] = refusal_writer_(status);
+    namespace http = boost::beast::http;
+    const std::string phrase(http::obsolete_reason(
+        http::int_to_status(static_cast<unsigned>(status))));
+    stream.discard_response();
+    const auto text = "HTTP/1.1 " + std::to_string(status) + ' ' + phrase +
+                      "\r\nContent-Type: " + content_type +
+                      "\r\nContent-Length: " + std::to_string(body.size()) +
+                      "\r\nConnection: close\r\n\r\n" + body;
+    stream.write(text.data(), text.size());
 }
 
 } // namespace turmericlane
--- a/modules/turmericlane_net/http/frontend_server.h
+++ b/modules/turmericlane_net/http/frontend_server.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "frontend_limits.h"
+
 #include <httplib.h>
 
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <functional>
+#include <string>
 
 namespace turmericlane
 {
@@ -12,16 +16,29 @@
 /** The HTTP library's server with a connection loop of its own.
 
     The loop knows which connections are idle: a stop closes these without
-    waiting for their timeout and interrupts no request.
+    waiting for their timeout and interrupts no request. Requests outside of the
+    limits are refused before the library gets them.
 
     @see http_frontend, frontend_stream
 */
 class frontend_server final : public httplib::Server
 {
 public:
-    /** @param listen_backlog  connections that may wait to be accepted
-        @param idle_timeout    time after which an idle connection is closed */
-    frontend_server(int listen_backlog, std::chrono::milliseconds idle_timeout);
+    /** Returns the body of a refusal and its content type. */
+    using refusal_writer =
+        std::function<std::pair<std::string, std::string>(int status)>;
+
+    /** Settings of a frontend_server. */
+    struct settings
+    {
+        /** Connections that may wait to be accepted. */
+        int listen_backlog = 0;
+        frontend_limits limits;
+    };
+
+    /** @param writer  called for requests that the library doesn't get, by
+                       several threads at the same time */
+    frontend_server(settings values, refusal_writer writer);
     ~frontend_server() override;
     frontend_server(const frontend_server&) = delete;
     frontend_server& operator=(const frontend_server&) = delete;
@@ -41,9 +58,13 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serve_connection(int socket);
+    bool
+    wait_for_request(class frontend_stream& stream, bool has_carried_request);
+    bool serve_request(class frontend_stream& stream);
+    void write_refusal(frontend_stream& stream);
 
-    const int listen_backlog_;
-    const std::chrono::milliseconds idle_timeout_;
+    const settings settings_;
+    const refusal_writer refusal_writer_;
     int listening_descriptor_ = -1;
     /** An eventfd that is readable once the server is draining. */
     const int stop_descriptor_;
--- a/modules/turmericlane_net/http/frontend_stream.cpp
+++ b/modules/turmericlane_net/http/frontend_stream.cpp
@@ -1,5 +1,7 @@
 #include "frontend_stream.h"
 
+#include "request_head.h"
+
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -15,31 +17,130 @@
 
 using clock_type = std::chrono::steady_clock;
 
-// Longest time from the first byte of a request to its last, and for sending
-// the response. A slower caller would occupy a thread that others need.
-constexpr std::chrono::seconds request_timeout{10};
+// Longest time for sending the response. A slower caller would occupy a thread
+// that others need.
 constexpr std::chrono::seconds response_timeout{5};
 // A descriptor that poll ignores.
 constexpr int no_descriptor = -1;
 constexpr std::size_t send_buffer_limit_bytes = std::size_t{64} << 10U;
+// A chunk of one byte takes six bytes on the wire.
+constexpr std::size_t max_chunk_overhead = 6;
+constexpr std::string_view head_end = "\n\r\n";
+
+constexpr int bad_request = 400;
+constexpr int request_timed_out = 408;
+constexpr int too_large = 413;
+constexpr int head_too_large = 431;
+
+thread_local frontend_stream* current_stream = nullptr;
 
 } // namespace
 
-frontend_stream::frontend_stream(int socket, int stop_descriptor)
+frontend_stream::frontend_stream(
+    int socket,
+    int stop_descriptor,
+    const frontend_limits& limits)
     : socket_(socket)
     , stop_descriptor_(stop_descriptor)
+    , limits_(limits)
+{
+    current_stream = this;
+}
+
+frontend_stream::~frontend_stream()
 {
+    current_stream = nullptr;
 }
 
-bool frontend_stream::wait_for_request(std::chrono::milliseconds idle_timeout)
+frontend_stream* frontend_stream::current() noexcept
 {
-    auto deadline = clock_type::now() + idle_timeout;
-    if (!is_readable() && !receive_until(deadline, stop_descriptor_))
+    return current_stream;
+}
+
+bool frontend_stream::wait_for_request()
+{
+    refusal_status_ = 0;
+    is_handled_ = false;
+    const auto has_byte =
+        unread_begin_ != unread_end_ || receive_first(clock_type::now());
+    request_start_ = clock_type::now();
+    return has_byte;
+}
+
+bool frontend_stream::read_head()
+{
+    head_text_.clear();
+    head_position_ = 0;
+    body_bytes_ = 0;
+    if (!take_empty_lines())
         return false;
-    request_deadline_ = clock_type::now() + request_timeout;
+    for (;;)
+    {
+        const auto old_size = head_text_.size();
+        const auto new_bytes =
+            std::string_view(receive_buffer_.data(), unread_end_)
+                .substr(unread_begin_);
+        head_text_ += new_bytes;
+        // The end may begin in the bytes that were received before.
+        const auto search_begin =
+            old_size - std::min(old_size, head_end.size() - 1);
+        const auto end = head_text_.find(head_end, search_begin);
+        if (end != std::string::npos)
+        {
+            head_text_.resize(end + head_end.size());
+            unread_begin_ += head_text_.size() - old_size;
+            break;
+        }
+        unread_begin_ = unread_end_;
+        if (head_text_.size() >= limits_.max_head_bytes)
+            return refuse(head_too_large);
+        if (!receive_more())
+            return false;
+    }
+    if (head_text_.size() > limits_.max_head_bytes)
+        return refuse(head_too_large);
+    const auto head = check_request_head(
+        head_text_, limits_.max_body_bytes, limits_.max_field_count);
+    if (head.refusal_status != 0)
+        return refuse(head.refusal_status);
+    max_body_bytes_ = head.is_chunked
+                          ? max_chunk_overhead * limits_.max_body_bytes +
+                                limits_.max_head_bytes
+                          : limits_.max_body_bytes;
     return true;
 }
 
+void frontend_stream::begin_handling() noexcept
+{
+    is_handled_ = true;
+}
+
+void frontend_stream::end_request()
+{
+    head_text_.clear();
+    head_position_ = 0;
+}
+
+int frontend_stream::refusal_status() const
+{
+    return is_handled_ ? 0 : refusal_status_;
+}
+
+void frontend_stream::discard_response()
+{
+    send_buffer_.clear();
+}
+
+void frontend_stream::require_close() noexcept
+{
+    is_close_required_ = true;
+}
+
+bool frontend_stream::is_close_required() const noexcept
+{
+    return is_close_required_;
+}
+
 bool frontend_stream::flush()
 {
     auto deadline = clock_type::now() + response_timeout;
@@ -62,7 +163,7 @@
 
 bool frontend_stream::is_readable() const
 {
-    return unread_begin_ != unread_end_;
+    return head_position_ != head_text_.size() || unread_begin_ != unread_end_;
 }
 
 bool frontend_stream::is_writable() const
@@ -72,14 +173,28 @@
 
 ssize_t frontend_stream::read(char* ptr, size_t size)
 {
+    if (head_position_ != head_text_.size())
+    {
+        const auto n = std::min(size, head_text_.size() - head_position_);
+        std::memcpy(ptr, head_text_.data() + head_position_, n);
+        head_position_ += n;
+        return static_cast<ssize_t>(n);
+    }
+    if (refusal_status_ != 0)
+        return -1;
     // An interim response (100 Continue) has to be sent before the caller sends
     // the rest of the request.
-    if (!is_readable() &&
-        (!flush() || !receive_until(request_deadline_, no_descriptor)))
-        return is_broken_ ? -1 : 0;
-    auto n = std::min(size, unread_end_ - unread_begin_);
+    if (unread_begin_ == unread_end_ && (!flush() || !receive_more()))
+        return is_broken_ || refusal_status_ != 0 ? -1 : 0;
+    const auto n = std::min(size, unread_end_ - unread_begin_);
     std::memcpy(ptr, receive_buffer_.data() + unread_begin_, n);
     unread_begin_ += n;
+    body_bytes_ += n;
+    if (body_bytes_ > max_body_bytes_)
+    {
+        refuse(too_large);
+        return -1;
+    }
     return static_cast<ssize_t>(n);
 }
 
@@ -130,14 +245,17 @@
     }
 }
 
-bool frontend_stream::receive_until(time_point deadline, int stop_descriptor)
+// Receives the first byte of a request, or returns false at the idle timeout or
+// the stop.
+bool frontend_stream::receive_first(time_point start_time)
 {
     for (;;)
     {
-        auto status = receive();
+        const auto status = receive();
         if (status != receive_status::no_data)
             return status == receive_status::has_data;
-        if (!wait_for_socket(POLLIN, deadline, stop_descriptor))
+        const auto deadline = start_time + limits_.idle_timeout;
+        if (!wait_for_socket(POLLIN, deadline, stop_descriptor_))
         {
             is_broken_ = true;
             return false;
@@ -145,6 +263,49 @@
     }
 }
 
+// Receives further bytes of a request.
+bool frontend_stream::receive_more()
+{
+    const auto deadline = request_start_ + limits_.request_timeout;
+    for (;;)
+    {
+        // Checked before the bytes, since a fast sender always has some.
+        if (clock_type::now() >= deadline)
+            return refuse(request_timed_out);
+        const auto status = receive();
+        if (status == receive_status::has_data)
+            return true;
+        if (status == receive_status::end_of_stream)
+            return false;
+        wait_for_socket(POLLIN, deadline, no_descriptor);
+    }
+}
+
+// Skips empty lines before a request.
+bool frontend_stream::take_empty_lines()
+{
+    std::size_t byte_count = 0;
+    for (;;)
+    {
+        if (unread_begin_ == unread_end_ && !receive_more())
+            return false;
+        const auto byte = receive_buffer_[unread_begin_];
+        if (byte != '\r' && byte != '\n')
+            return true;
+        ++unread_begin_;
+        if (++byte_count > 2 * limits_.max_empty_lines)
+            return refuse(bad_request);
+    }
+}
+
+// Returns false.
+bool frontend_stream::refuse(int status)
+{
+    if (refusal_status_ == 0)
+        refusal_status_ = status;
+    return false;
+}
+
 // Returns false at the deadline, on failure, or if the stop descriptor is ready
 // and the socket is not.
 bool frontend_stream::wait_for_socket(
--- a/modules/turmericlane_net/http/frontend_stream.h
+++ b/modules/turmericlane_net/http/frontend_stream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "frontend_limits.h"
+
 #include <httplib.h>
 
 #include <array>
@@ -13,8 +15,9 @@
 
     The library's own stream polls for the next request, sleeping in between,
     and sends the head and the body of a response in two writes. This one blocks
-    in the kernel, limits the time for receiving a whole request, and sends a
-    response in one write. Not thread-safe.
+    in the kernel and sends a response in one write. It limits the bytes and the
+    time of a whole request, since the library would read heads and chunked
+    bodies without end. Not thread-safe.
 
     @see frontend_server
 */
@@ -23,13 +26,49 @@
 public:
     /** @param socket           not owned
         @param stop_descriptor  becomes readable when idle connections have to
-                                close */
-    frontend_stream(int socket, int stop_descriptor);
+                                close
+        @param limits           must outlive the stream */
+    frontend_stream(
+        int socket,
+        int stop_descriptor,
+        const frontend_limits& limits);
+    ~frontend_stream() override;
+    frontend_stream(const frontend_stream&) = delete;
+    frontend_stream& operator=(const frontend_stream&) = delete;
+
+    /** Returns the stream of the connection that this thread serves, or null.
+        The library calls handlers in the thread of their connection. */
+    static frontend_stream* current() noexcept;
 
     /** Waits for the first byte of a request.
         @returns false if none arrives before the timeout or the stop, or if the
                  caller closed the connection */
-    bool wait_for_request(std::chrono::milliseconds idle_timeout);
+    bool wait_for_request();
+
+    /** Receives the head of a request, which read then returns.
+        @returns false if the request must be refused or the connection is
+                 broken */
+    bool read_head();
+
+    /** Must be called before a handler gets the request. */
+    void begin_handling() noexcept;
+
+    /** Must be called when the response is sent. */
+    void end_request();
+
+    /** Returns the status with which the request has to be refused, or 0. The
+        request has not reached a handler, and the rest of its bytes is not
+        read, so that the connection must be closed. */
+    int refusal_status() const;
+
+    /** Discards the response that was written since the last flush. */
+    void discard_response();
+
+    /** The connection must be closed after the response. */
+    void require_close() noexcept;
+
+    /** True if the connection must be closed after the response. */
+    bool is_close_required() const noexcept;
 
     /** Sends the bytes that were written since the last flush.
         @returns false if the connection is broken or the caller reads too
@@ -55,14 +94,26 @@
     };
 
     receive_status receive();
-    bool receive_until(time_point deadline, int stop_descriptor);
+    bool receive_first(time_point start_time);
+    bool receive_more();
+    bool take_empty_lines();
+    bool refuse(int status);
     bool wait_for_socket(
         short events, time_point deadline, int stop_descriptor) const;
 
     const int socket_;
     const int stop_descriptor_;
+    const frontend_limits& limits_;
     bool is_broken_ = false;
-    time_point request_deadline_;
+    bool is_close_required_ = false;
+    bool is_handled_ = false;
+    int refusal_status_ = 0;
+    time_point request_start_;
+    std::string head_text_;
+    /** Number of bytes of the head that the library has read. */
+    std::size_t head_position_ = 0;
+    std::size_t body_bytes_ = 0;
+    std::size_t max_body_bytes_ = 0;
     std::string send_buffer_;
     std::array<char, 8192> receive_buffer_;
     std::size_t unread_begin_ = 0;
--- a/modules/turmericlane_net/http/http_frontend.cpp
+++ b/modules/turmericlane_net/http/http_frontend.cpp
@@ -1,6 +1,7 @@
 #include "http_frontend.h"
 
 #include "frontend_server.h"
+#include "frontend_stream.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -13,6 +14,9 @@
 namespace
 {
 
+constexpr int bad_request = 400;
+constexpr int too_large = 413;
+
 void set_response(httplib::Response& target, http_response source)
 {
     target.status = source.status;
@@ -32,12 +36,30 @@
     return request;
 }
 
-httplib::Server::Handler
-make_library_handler(http_frontend::request_handler handler)
+httplib::Server::Handler make_library_handler(
+    http_frontend::request_handler handler, std::size_t max_body_bytes)
 {
-    return [handler = std::move(handler)](
+    return [handler = std::move(handler), max_body_bytes](
                const httplib::Request& request, httplib::Response& response)
-    { set_response(response, handler(make_request(request))); };
+    {
+        // The library limits only bodies whose length is stated.
+        if (request.body.size() > max_body_bytes)
+            response.status = too_large;
+        else
+        {
+            frontend_stream::current()->begin_handling();
+            set_response(response, handler(make_request(request)));
+        }
+    };
+}
+
+frontend_server::settings
+make_server_settings(const http_frontend_settings& source)
+{
+    frontend_server::settings values;
+    values.listen_backlog = source.listen_backlog;
+    values.limits = source.limits;
+    return values;
 }
 
 // Returns a regular expression that matches exactly this path.
@@ -61,14 +83,19 @@
 public:
     explicit implementation(http_frontend_settings settings)
         : settings_(std::move(settings))
-        , server_(settings_.listen_backlog, settings_.idle_timeout)
+        , server_(
+              make_server_settings(settings_),
+              [this](int status) { return make_refusal(status); })
     {
         server_.set_tcp_nodelay(true);
         // Only for the Keep-Alive header of responses: frontend_server does not
         // limit the number of requests on a connection.
         server_.set_keep_alive_max_count(1'000'000);
-        server_.set_keep_alive_timeout(settings_.idle_timeout.count());
-        server_.set_payload_max_length(settings_.body_limit_bytes);
+        server_.set_keep_alive_timeout(
+            std::chrono::duration_cast<std::chrono::seconds>(
+                settings_.limits.idle_timeout)
+                .count());
+        server_.set_payload_max_length(settings_.limits.max_body_bytes);
         server_.new_task_queue = [this]
         { return new httplib::ThreadPool(settings_.threads); };
         server_.set_error_handler(
@@ -81,6 +108,10 @@
 
     void fill_refusal(httplib::Response& response)
     {
+        // The library has not found the end of a malformed request.
+        if (response.status == bad_request)
+            if (auto* stream = frontend_stream::current())
+                stream->require_close();
         // The library also calls this for error responses of handlers, which
         // have a body.
         if (!refusal_handler_ || !response.body.empty())
@@ -88,6 +119,14 @@
         set_response(response, refusal_handler_(response.status));
     }
 
+    std::pair<std::string, std::string> make_refusal(int status) const
+    {
+        if (!refusal_handler_)
+            return {{}, "text/plain"};
+        auto response = refusal_handler_(status);
+        return {std::move(response.body), std::move(response.content_type)};
+    }
+
     result<std::uint16_t> start()
     {
         using port_result = result<std::uint16_t>;
@@ -145,14 +184,20 @@
     std::string_view path, request_handler handler)
 {
     implementation_->server_.Get(
-        make_literal_regex(path), make_library_handler(std::move(handler)));
+        make_literal_regex(path),
+        make_library_handler(
+            std::move(handler),
+            implementation_->settings_.limits.max_body_bytes));
 }
 
 void http_frontend::add_post_handler(
     std::string_view path, request_handler handler)
 {
     implementation_->server_.Post(
-        make_literal_regex(path), make_library_handler(std::move(handler)));
+        make_literal_regex(path),
+        make_library_handler(
+            std::move(handler),
+            implementation_->settings_.limits.max_body_bytes));
 }
 
 void http_frontend::set_refusal_handler(refusal_handler handler)
--- a/modules/turmericlane_net/http/http_frontend.h
+++ b/modules/turmericlane_net/http/http_frontend.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "frontend_limits.h"
+
 #include <turmericlane_core/turmericlane_core.h>
 
 #include <chrono>
@@ -42,9 +44,7 @@
     /** Number of threads, and thereby of connections served at the same time:
         each open connection occupies a thread. Further connections wait. */
     std::size_t threads = 64;
-    std::size_t body_limit_bytes = std::size_t{1} << 20U;
-    /** Time after which an idle connection is closed. */
-    std::chrono::seconds idle_timeout{30};
+    frontend_limits limits;
     /** Connections that may wait to be accepted. */
     int listen_backlog = 1024;
 };
@@ -52,8 +52,9 @@
 /** The HTTP server for callers and operators.
 
     Handlers must be added before start. They are called by several threads at
-    the same time and may block. A body above the limit is answered with status
-    413, an unknown path with 404.
+    the same time and may block. An unknown path is answered with status 404,
+   and a request outside of the limits with 400, 408 (time), 413 (body), 415
+    (compressed body), 431 (head) or 503 (memory); it has not reached a handler.
 
     @see http_request, http_response
 */
@@ -62,7 +63,8 @@
 public:
     using request_handler = std::function<http_response(const http_request&)>;
     /** Returns the response to a request that reached no handler, with status
-        404 or 413. */
+        400, 404, 408, 413, 415, 431 or 503. Several threads call it at the same
+        time. */
     using refusal_handler = std::function<http_response(int status)>;
 
     explicit http_frontend(http_frontend_settings settings);
@@ -78,8 +80,7 @@
     /** Adds a handler for POST requests. The path is matched literally. */
     void add_post_handler(std::string_view path, request_handler handler);
 
-    /** Sets the handler that replaces the empty body of 404 and 413
-        responses. */
+    /** Sets the handler that replaces the empty body of refusals. */
     void set_refusal_handler(refusal_handler handler);
 
     /** Binds, listens and starts the threads.
--- a/modules/turmericlane_net/tests/http_tests.cpp
+++ b/modules/turmericlane_net/tests/http_tests.cpp
@@ -22,10 +22,10 @@
     http_frontend_settings settings;
     settings.host = "127.0.0.1";
     settings.threads = 4;
-    settings.body_limit_bytes = 1000;
+    settings.limits.max_body_bytes = 1000;
     // Longer than a test waits: a stop that waits for an idle connection makes
     // the test fail.
-    settings.idle_timeout = 10 * test_timeout;
+    settings.limits.idle_timeout = 10 * test_timeout;
     return settings;
 }
 
--- a/modules/turmericlane_node/http/http_service.cpp
+++ b/modules/turmericlane_node/http/http_service.cpp
@@ -19,7 +19,34 @@
     booking. */
 constexpr std::size_t body_limit_bytes = std::size_t{64} * 1024;
 
-constexpr int http_too_large = 413;
+/** Describes a request that the HTTP server refused by itself. */
+api_error make_frontend_refusal(int status)
+{
+    switch (status)
+    {
+    case 400:
+        return make_refusal(reason::bad_field, "the request is not HTTP");
+    case 408:
+        return make_refusal(
+            reason::peer_too_slow, "the request did not arrive in time");
+    case 413:
+        return make_refusal(
+            reason::body_too_large, "the body is larger than " +
+                                        std::to_string(body_limit_bytes) +
+                                        " bytes");
+    case 415:
+        return make_refusal(
+            reason::bad_field, "compressed bodies are not accepted");
+    case 431:
+        return make_refusal(
+            reason::bad_field, "the head of the request is too large");
+    case 503:
+        return make_refusal(
+            reason::queue_full, "the memory for requests is used up");
+    default:
+        return make_refusal(reason::bad_field, "there is no such path");
+    }
+}
 
 /** Runs a task on the engine's loop.
     @returns the value of the task; nullopt if the loop has stopped */
@@ -64,7 +91,8 @@
     frontend_settings.host = settings_.address;
     frontend_settings.port = settings_.http_port;
     frontend_settings.threads = settings_.http_threads;
-    frontend_settings.body_limit_bytes = body_limit_bytes;
+    frontend_settings.limits.max_body_bytes = body_limit_bytes;
+    frontend_settings.limits.request_timeout = settings_.http_request_timeout;
     frontend_ = std::make_unique<http_frontend>(frontend_settings);
     add_handlers();
     const auto port = frontend_->start();
@@ -122,16 +150,8 @@
     frontend_->set_refusal_handler(
         [this](int status)
         {
-            const auto is_too_large = status == http_too_large;
-            const auto cause =
-                is_too_large ? reason::body_too_large : reason::bad_field;
             auto response = make_refusal_response(
-                make_refusal(
-                    cause, is_too_large
-                               ? "the body is larger than " +
-                                     std::to_string(body_limit_bytes) + " bytes"
-                               : "there is no such path"),
-                rank::ordinary);
+                make_frontend_refusal(status), rank::ordinary);
             response.status = status;
             return response;
         });
--- a/modules/turmericlane_node/peers/peer_service.cpp
+++ b/modules/turmericlane_node/peers/peer_service.cpp
@@ -29,6 +29,7 @@
     network_settings.keys = *keys;
     network_settings.instance = settings_.index;
     network_settings.nonce = nonce_;
+    network_settings.unproven_session_limit = settings_.unproven_peers;
     network_ =
         std::make_unique<peer_network>(network_settings, *this, counters_);
     return network_->start();
--- a/modules/turmericlane_node/settings/instance_settings.cpp
+++ b/modules/turmericlane_node/settings/instance_settings.cpp
@@ -2,6 +2,8 @@
 
 #include <turmericlane_settings/turmericlane_settings.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <ostream>
 #include <sstream>
@@ -18,6 +20,12 @@
 constexpr std::int64_t max_port = 65535;
 constexpr std::int64_t max_ordinal = 1'000'000;
 constexpr std::int64_t max_http_threads = 1000;
+constexpr std::int64_t max_connections = 1'000'000;
+// Of the descriptors that the process may open, by default a
+// quarter is for peers without proof; the rest is for peers, backend
+// servers and files.
+constexpr std::size_t unproven_descriptor_divisor = 4;
+constexpr std::size_t max_default_unproven_peers = 2400;
 
 /** The declared settings of the daemon. */
 struct declared_settings
@@ -100,8 +108,45 @@
         128,
         4,
         max_http_threads);
+    millisecond_setting& http_request_timeout =
+        definitions.add<millisecond_setting>(
+            {"http-request-timeout-ms",
+             "longest time from the first byte of a request to its last"},
+            10000ms,
+            100ms,
+            600000ms);
+    integer_setting& unproven_peers = definitions.add<integer_setting>(
+        {"unproven-peers",
+         "connections at the peer port that have not proved to come from a "
+         "peer; 0 for a quarter of the descriptors, at most 2400"},
+        0,
+        0,
+        max_connections);
 };
 
+/** Returns the number of descriptors that the process may open. */
+std::size_t descriptor_limit()
+{
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
+/** Sets the limits of callers and peers, some of which follow from others. */
+void set_connection_limits(
+    const declared_settings& declared, instance_settings& values)
+{
+    const auto as_size = [](const integer_setting& it)
+    { return static_cast<std::size_t>(it.value()); };
+    values.http_threads = as_size(declared.http_threads);
+    values.http_request_timeout = declared.http_request_timeout.as_duration();
+    values.unproven_peers = as_size(declared.unproven_peers);
+    if (values.unproven_peers == 0)
+        values.unproven_peers = std::clamp<std::size_t>(
+            descriptor_limit() / unproven_descriptor_divisor, 1,
+            max_default_unproven_peers);
+}
+
 std::vector<std::string> split_at_commas(const std::string& text)
 {
     std::vector<std::string> names;
@@ -140,8 +185,7 @@
     values.startup_limit = declared.startup_limit.as_duration();
     values.list_period = declared.list_period.as_duration();
     values.load_period = declared.load_period.as_duration();
-    values.http_threads =
-        static_cast<std::size_t>(declared.http_threads.value());
+    set_connection_limits(declared, values);
     return values;
 }
 
--- a/modules/turmericlane_node/settings/instance_settings.h
+++ b/modules/turmericlane_node/settings/instance_settings.h
@@ -55,6 +55,11 @@
     std::chrono::milliseconds load_period{500};
     /** Callers' connections that are served at the same time. */
     std::size_t http_threads = 128;
+    /** Time from the first byte of a caller's request to its last. */
+    std::chrono::milliseconds http_request_timeout{10000};
+    /** Connections at the port for peers that have not proved that they come
+        from one. */
+    std::size_t unproven_peers = 256;
 };
 
 /** Reads and validates the settings from flags and the environment.
