Bound the memory for callers' requests with one account

Cause: requests within their limits, above all chunked bodies, could together hold 400 KB for each of up to 1,000 threads.

Change: request_memory counts heads (128 bytes a field besides the text) and bytes of bodies of all connections, up to http-memory-mb (32). Above it the requests that hold the most bytes for the longest time are refused with 503; one that a handler has may have run and is never given up.

--- a/modules/turmericlane_net/http/frontend_server.cpp
+++ b/modules/turmericlane_net/http/frontend_server.cpp
@@ -59,6 +59,7 @@
 frontend_server::frontend_server(settings values, refusal_writer writer)
     : settings_(values)
     , refusal_writer_(std::move(writer))
+    , memory_(settings_.max_memory_bytes)
     , stop_descriptor_(::eventfd(0, EFD_CLOEXEC))
 {
     set_socket_options(
@@ -110,7 +111,7 @@
 void frontend_server::serve_connection(int socket)
 {
     frontend_stream stream(
-        socket, stop_descriptor_, settings_.limits);
+        socket, stop_descriptor_, settings_.limits, memory_);
     bool is_kept_open = true;
     while (is_kept_open && stream.wait_for_request())
     {
--- a/modules/turmericlane_net/http/frontend_server.h
+++ b/modules/turmericlane_net/http/frontend_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "frontend_limits.h"
+#include "request_memory.h"
 
 #include <httplib.h>
 
@@ -33,6 +34,8 @@
     {
         /** Connections that may wait to be accepted. */
         int listen_backlog = 0;
+        /** Limit of the memory for requests and responses. */
+        std::size_t max_memory_bytes = 0;
         frontend_limits limits;
     };
 
@@ -65,6 +68,7 @@
 
     const settings settings_;
     const refusal_writer refusal_writer_;
+    request_memory memory_;
     int listening_descriptor_ = -1;
     /** An eventfd that is readable once the server is draining. */
     const int stop_descriptor_;
--- a/modules/turmericlane_net/http/frontend_stream.cpp
+++ b/modules/turmericlane_net/http/frontend_stream.cpp
@@ -23,14 +23,19 @@
 // A descriptor that poll ignores.
 constexpr int no_descriptor = -1;
 constexpr std::size_t send_buffer_limit_bytes = std::size_t{64} << 10U;
+// A field that the library has parsed is a node with two strings.
+constexpr std::size_t parsed_field_bytes = 128;
 // A chunk of one byte takes six bytes on the wire.
 constexpr std::size_t max_chunk_overhead = 6;
+// The string in which the library collects a body grows by doubling.
+constexpr std::size_t body_memory_factor = 2;
 constexpr std::string_view head_end = "\n\r\n";
 
 constexpr int bad_request = 400;
 constexpr int request_timed_out = 408;
 constexpr int too_large = 413;
 constexpr int head_too_large = 431;
+constexpr int unavailable = 503;
 
 thread_local frontend_stream* current_stream = nullptr;
 
@@ -39,10 +44,12 @@
 frontend_stream::frontend_stream(
     int socket,
     int stop_descriptor,
-    const frontend_limits& limits)
+    const frontend_limits& limits,
+    request_memory& memory)
     : socket_(socket)
     , stop_descriptor_(stop_descriptor)
     , limits_(limits)
+    , claim_(memory, socket)
 {
     current_stream = this;
 }
@@ -94,7 +101,7 @@
         unread_begin_ = unread_end_;
         if (head_text_.size() >= limits_.max_head_bytes)
             return refuse(head_too_large);
-        if (!receive_more())
+        if (!hold(head_text_.size()) || !receive_more())
             return false;
     }
     if (head_text_.size() > limits_.max_head_bytes)
@@ -103,20 +110,27 @@
         head_text_, limits_.max_body_bytes, limits_.max_field_count);
     if (head.refusal_status != 0)
         return refuse(head.refusal_status);
+    head_cost_bytes_ =
+        2 * head_text_.size() + head.field_count * parsed_field_bytes;
     max_body_bytes_ = head.is_chunked
                           ? max_chunk_overhead * limits_.max_body_bytes +
                                 limits_.max_head_bytes
                           : limits_.max_body_bytes;
-    return true;
+    return hold(head_cost_bytes_);
 }
 
-void frontend_stream::begin_handling() noexcept
+bool frontend_stream::begin_handling()
 {
-    is_handled_ = true;
+    const auto bytes = head_cost_bytes_ + body_memory_factor * body_bytes_;
+    if (refusal_status_ != 0)
+        return false;
+    is_handled_ = claim_.set_in_flight(bytes);
+    return is_handled_ || refuse(unavailable);
 }
 
 void frontend_stream::end_request()
 {
+    claim_.release();
     head_text_.clear();
     head_position_ = 0;
 }
@@ -195,6 +209,8 @@
         refuse(too_large);
         return -1;
     }
+    if (!hold(head_cost_bytes_ + body_memory_factor * body_bytes_))
+        return -1;
     return static_cast<ssize_t>(n);
 }
 
@@ -276,7 +292,7 @@
         if (status == receive_status::has_data)
             return true;
         if (status == receive_status::end_of_stream)
-            return false;
+            return claim_.is_given_up() ? refuse(unavailable) : false;
         wait_for_socket(POLLIN, deadline, no_descriptor);
     }
 }
@@ -298,6 +314,12 @@
     }
 }
 
+// Counts the memory of the request that is being received.
+bool frontend_stream::hold(std::size_t bytes)
+{
+    return claim_.set_receiving(bytes, request_start_) || refuse(unavailable);
+}
+
 // Returns false.
 bool frontend_stream::refuse(int status)
 {
--- a/modules/turmericlane_net/http/frontend_stream.h
+++ b/modules/turmericlane_net/http/frontend_stream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "frontend_limits.h"
+#include "request_memory.h"
 
 #include <httplib.h>
 
@@ -27,11 +28,13 @@
     /** @param socket           not owned
         @param stop_descriptor  becomes readable when idle connections have to
                                 close
-        @param limits           must outlive the stream */
+        @param limits           must outlive the stream
+        @param memory           must outlive the stream */
     frontend_stream(
         int socket,
         int stop_descriptor,
-        const frontend_limits& limits);
+        const frontend_limits& limits,
+        request_memory& memory);
     ~frontend_stream() override;
     frontend_stream(const frontend_stream&) = delete;
     frontend_stream& operator=(const frontend_stream&) = delete;
@@ -50,8 +53,9 @@
                  broken */
     bool read_head();
 
-    /** Must be called before a handler gets the request. */
-    void begin_handling() noexcept;
+    /** Must be called before a handler gets the request.
+        @returns false if the request has been given up and must be refused */
+    bool begin_handling();
 
     /** Must be called when the response is sent. */
     void end_request();
@@ -97,6 +101,7 @@
     bool receive_first(time_point start_time);
     bool receive_more();
     bool take_empty_lines();
+    bool hold(std::size_t bytes);
     bool refuse(int status);
     bool wait_for_socket(
         short events, time_point deadline, int stop_descriptor) const;
@@ -104,6 +109,7 @@
     const int socket_;
     const int stop_descriptor_;
     const frontend_limits& limits_;
+    request_memory_claim claim_;
     bool is_broken_ = false;
     bool is_close_required_ = false;
     bool is_handled_ = false;
@@ -112,6 +118,8 @@
     std::string head_text_;
     /** Number of bytes of the head that the library has read. */
     std::size_t head_position_ = 0;
+    /** Memory of the parsed head. */
+    std::size_t head_cost_bytes_ = 0;
     std::size_t body_bytes_ = 0;
     std::size_t max_body_bytes_ = 0;
     std::string send_buffer_;
--- a/modules/turmericlane_net/http/http_frontend.cpp
+++ b/modules/turmericlane_net/http/http_frontend.cpp
@@ -16,6 +16,7 @@
 
 constexpr int bad_request = 400;
 constexpr int too_large = 413;
+constexpr int unavailable = 503;
 
 void set_response(httplib::Response& target, http_response source)
 {
@@ -45,11 +46,10 @@
         // The library limits only bodies whose length is stated.
         if (request.body.size() > max_body_bytes)
             response.status = too_large;
+        else if (!frontend_stream::current()->begin_handling())
+            response.status = unavailable;
         else
-        {
-            frontend_stream::current()->begin_handling();
             set_response(response, handler(make_request(request)));
-        }
     };
 }
 
@@ -58,6 +58,7 @@
 {
     frontend_server::settings values;
     values.listen_backlog = source.listen_backlog;
+    values.max_memory_bytes = source.max_memory_bytes;
     values.limits = source.limits;
     return values;
 }
--- a/modules/turmericlane_net/http/http_frontend.h
+++ b/modules/turmericlane_net/http/http_frontend.h
@@ -44,6 +44,8 @@
     /** Number of threads, and thereby of connections served at the same time:
         each open connection occupies a thread. Further connections wait. */
     std::size_t threads = 64;
+    /** Limit of the memory for requests and responses. */
+    std::size_t max_memory_bytes = std::size_t{32} << 20U;
     frontend_limits limits;
     /** Connections that may wait to be accepted. */
     int listen_backlog = 1024;
--- a/modules/turmericlane_net/tests/hostile_http_tests.cpp
+++ b/modules/turmericlane_net/tests/hostile_http_tests.cpp
@@ -201,3 +201,17 @@
         fixture.send(post_line + "Content-Length: 10\r\n\r\nx"), 408));
     CHECK(fixture.handler_calls == 0);
 }
+
+// Guards against requests within their limits that together exhaust the memory.
+TEST_CASE("a request is refused when the memory for requests is used up")
+{
+    auto settings = make_settings();
+    settings.max_memory_bytes = 1000;
+    const frontend_fixture fixture(settings);
+    const auto head = post_line + "Content-Length: 900\r\n\r\n";
+    CHECK(is_refusal(fixture.send(head + std::string(899, 'x')), 503));
+    CHECK(fixture.handler_calls == 0);
+    raw_caller caller(fixture.port);
+    caller.send(post_line + "Content-Length: 10\r\n\r\n0123456789");
+    CHECK(caller.read_status() == "200");
+}
--- a/modules/turmericlane_node/settings/instance_settings.cpp
+++ b/modules/turmericlane_node/settings/instance_settings.cpp
@@ -21,6 +21,7 @@
 constexpr std::int64_t max_ordinal = 1'000'000;
 constexpr std::int64_t max_http_threads = 1000;
 constexpr std::int64_t max_connections = 1'000'000;
+constexpr std::int64_t max_http_memory_mb = 65536;
 // Of the descriptors that the process may open, by default a
 // quarter is for peers without proof; the rest is for peers, backend
 // servers and files.
@@ -108,6 +109,12 @@
         128,
         4,
         max_http_threads);
+    integer_setting& http_memory_mb = definitions.add<integer_setting>(
+        {"http-memory-mb", "memory for requests and responses of callers",
+         "MB"},
+        32,
+        1,
+        max_http_memory_mb);
     millisecond_setting& http_request_timeout =
         definitions.add<millisecond_setting>(
             {"http-request-timeout-ms",
@@ -139,6 +146,7 @@
     const auto as_size = [](const integer_setting& it)
     { return static_cast<std::size_t>(it.value()); };
     values.http_threads = as_size(declared.http_threads);
+    values.http_memory_bytes = as_size(declared.http_memory_mb) << 20U;
     values.http_request_timeout = declared.http_request_timeout.as_duration();
     values.unproven_peers = as_size(declared.unproven_peers);
     if (values.unproven_peers == 0)
