Keep threads and descriptors for ordinary callers

Cause: silent connections kept each thread for 30 s, and the library's queue of accepted connections had no limit, so that they took all descriptors and ordinary callers waited for minutes.

--- a/modules/turmericlane_net/http/frontend_limits.h
+++ b/modules/turmericlane_net/http/frontend_limits.h
@@ -19,6 +19,9 @@
     std::chrono::milliseconds idle_timeout{30000};
     /** Time from the first byte of a request to its last. */
     std::chrono::milliseconds request_timeout{10000};
+    /** The same limits while other connections wait for a thread. */
+    std::chrono::milliseconds busy_idle_timeout{200};
+    std::chrono::milliseconds busy_request_timeout{2000};
 };
 
 } // namespace turmericlane
--- a/modules/turmericlane_net/http/frontend_server.cpp
+++ b/modules/turmericlane_net/http/frontend_server.cpp
@@ -1,5 +1,6 @@
 #include "frontend_server.h"
 
+#include "connection_queue.h"
 #include "frontend_stream.h"
 
 #include <boost/beast/http/status.hpp>
@@ -62,6 +63,12 @@
     , memory_(settings_.max_memory_bytes)
     , stop_descriptor_(::eventfd(0, EFD_CLOEXEC))
 {
+    new_task_queue = [this]
+    {
+        return new connection_queue(
+            settings_.threads, settings_.max_connections - settings_.threads,
+            waiting_count_, [this] { idle_connections_.close_one(); });
+    };
     set_socket_options(
         [this](socket_t socket)
         {
@@ -102,8 +109,11 @@
 
 bool frontend_server::process_and_close_socket(socket_t socket)
 {
-    serve_connection(socket);
-    discard_input(socket);
+    if (!connection_queue::is_refusing())
+    {
+        serve_connection(socket);
+        discard_input(socket);
+    }
     ::close(socket);
     return true;
 }
@@ -111,16 +121,26 @@
 void frontend_server::serve_connection(int socket)
 {
     frontend_stream stream(
-        socket, stop_descriptor_, settings_.limits, memory_);
+        socket, stop_descriptor_, settings_.limits, waiting_count_, memory_);
     bool is_kept_open = true;
-    while (is_kept_open && stream.wait_for_request())
+    bool has_carried_request = false;
+    while (is_kept_open && wait_for_request(stream, has_carried_request))
     {
         ++requests_in_flight_;
         is_kept_open = serve_request(stream) && !is_draining_;
+        has_carried_request = true;
         --requests_in_flight_;
     }
 }
 
+bool frontend_server::wait_for_request(
+    frontend_stream& stream, bool has_carried_request)
+{
+    const idle_connection idle(
+        idle_connections_, stream.socket(), has_carried_request);
+    return stream.wait_for_request();
+}
+
 // Returns true if the connection can carry another request.
 bool frontend_server::serve_request(frontend_stream& stream)
 {
--- a/modules/turmericlane_net/http/frontend_server.h
+++ b/modules/turmericlane_net/http/frontend_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "frontend_limits.h"
+#include "idle_connections.h"
 #include "request_memory.h"
 
 #include <httplib.h>
@@ -17,7 +18,8 @@
 /** The HTTP library's server with a connection loop of its own.
 
     The loop knows which connections are idle: a stop closes these without
-    waiting for their timeout and interrupts no request. Requests outside of the
+    waiting for their timeout and interrupts no request, and one of them is
+    closed when another connection waits for a thread. Requests outside of the
     limits are refused before the library gets them.
 
     @see http_frontend, frontend_stream
@@ -34,6 +36,11 @@
     {
         /** Connections that may wait to be accepted. */
         int listen_backlog = 0;
+        /** Connections that are served at the same time. */
+        std::size_t threads = 1;
+        /** Accepted connections, served or waiting; further ones are closed at
+            once. */
+        std::size_t max_connections = 1;
         /** Limit of the memory for requests and responses. */
         std::size_t max_memory_bytes = 0;
         frontend_limits limits;
@@ -63,12 +70,14 @@
     void serve_connection(int socket);
     bool
     wait_for_request(class frontend_stream& stream, bool has_carried_request);
-    bool serve_request(class frontend_stream& stream);
+    bool serve_request(frontend_stream& stream);
     void write_refusal(frontend_stream& stream);
 
     const settings settings_;
     const refusal_writer refusal_writer_;
     request_memory memory_;
+    idle_connections idle_connections_;
+    std::atomic<std::size_t> waiting_count_ = 0;
     int listening_descriptor_ = -1;
     /** An eventfd that is readable once the server is draining. */
     const int stop_descriptor_;
--- a/modules/turmericlane_net/http/frontend_stream.cpp
+++ b/modules/turmericlane_net/http/frontend_stream.cpp
@@ -20,6 +20,8 @@
 // Longest time for sending the response. A slower caller would occupy a thread
 // that others need.
 constexpr std::chrono::seconds response_timeout{5};
+// Time between two checks whether other connections wait for a thread.
+constexpr std::chrono::milliseconds busy_check_period{250};
 // A descriptor that poll ignores.
 constexpr int no_descriptor = -1;
 constexpr std::size_t send_buffer_limit_bytes = std::size_t{64} << 10U;
@@ -45,10 +47,12 @@
     int socket,
     int stop_descriptor,
     const frontend_limits& limits,
+    const std::atomic<std::size_t>& waiting_count,
     request_memory& memory)
     : socket_(socket)
     , stop_descriptor_(stop_descriptor)
     , limits_(limits)
+    , waiting_count_(waiting_count)
     , claim_(memory, socket)
 {
     current_stream = this;
@@ -270,30 +274,39 @@
         const auto status = receive();
         if (status != receive_status::no_data)
             return status == receive_status::has_data;
-        const auto deadline = start_time + limits_.idle_timeout;
-        if (!wait_for_socket(POLLIN, deadline, stop_descriptor_))
-        {
-            is_broken_ = true;
-            return false;
-        }
+        const auto deadline = deadline_after(
+            start_time, limits_.idle_timeout, limits_.busy_idle_timeout);
+        if (wait_for_socket(POLLIN, deadline, stop_descriptor_))
+            continue;
+        const auto now = clock_type::now();
+        // The connection that waited for a thread may have got one since.
+        const auto was_wanted = now >= deadline && waiting_count_ == 0;
+        if (was_wanted && now < start_time + limits_.idle_timeout)
+            continue;
+        is_broken_ = true;
+        return false;
     }
 }
 
 // Receives further bytes of a request.
 bool frontend_stream::receive_more()
 {
-    const auto deadline = request_start_ + limits_.request_timeout;
     for (;;)
     {
+        const auto deadline = deadline_after(
+            request_start_, limits_.request_timeout,
+            limits_.busy_request_timeout);
+        const auto now = clock_type::now();
         // Checked before the bytes, since a fast sender always has some.
-        if (clock_type::now() >= deadline)
+        if (now >= deadline)
             return refuse(request_timed_out);
         const auto status = receive();
         if (status == receive_status::has_data)
             return true;
         if (status == receive_status::end_of_stream)
             return claim_.is_given_up() ? refuse(unavailable) : false;
-        wait_for_socket(POLLIN, deadline, no_descriptor);
+        wait_for_socket(
+            POLLIN, std::min(deadline, now + busy_check_period), no_descriptor);
     }
 }
 
@@ -328,6 +341,15 @@
     return false;
 }
 
+frontend_stream::time_point frontend_stream::deadline_after(
+    time_point start_time,
+    std::chrono::milliseconds timeout,
+    std::chrono::milliseconds busy_timeout) const
+{
+    return start_time +
+           (waiting_count_ > 0 ? std::min(timeout, busy_timeout) : timeout);
+}
+
 // Returns false at the deadline, on failure, or if the stop descriptor is ready
 // and the socket is not.
 bool frontend_stream::wait_for_socket(
--- a/modules/turmericlane_net/http/frontend_stream.h
+++ b/modules/turmericlane_net/http/frontend_stream.h
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <string>
 
@@ -29,11 +30,14 @@
         @param stop_descriptor  becomes readable when idle connections have to
                                 close
         @param limits           must outlive the stream
+        @param waiting_count    number of connections that wait for a thread;
+                                must outlive the stream
         @param memory           must outlive the stream */
     frontend_stream(
         int socket,
         int stop_descriptor,
         const frontend_limits& limits,
+        const std::atomic<std::size_t>& waiting_count,
         request_memory& memory);
     ~frontend_stream() override;
     frontend_stream(const frontend_stream&) = delete;
@@ -103,12 +107,17 @@
     bool take_empty_lines();
     bool hold(std::size_t bytes);
     bool refuse(int status);
+    time_point deadline_after(
+        time_point start_time,
+        std::chrono::milliseconds timeout,
+        std::chrono::milliseconds busy_timeout) const;
     bool wait_for_socket(
         short events, time_point deadline, int stop_descriptor) const;
 
     const int socket_;
     const int stop_descriptor_;
     const frontend_limits& limits_;
+    const std::atomic<std::size_t>& waiting_count_;
     request_memory_claim claim_;
     bool is_broken_ = false;
     bool is_close_required_ = false;
--- a/modules/turmericlane_net/http/http_frontend.cpp
+++ b/modules/turmericlane_net/http/http_frontend.cpp
@@ -58,6 +58,8 @@
 {
     frontend_server::settings values;
     values.listen_backlog = source.listen_backlog;
+    values.threads = source.threads;
+    values.max_connections = source.max_connections;
     values.max_memory_bytes = source.max_memory_bytes;
     values.limits = source.limits;
     return values;
@@ -97,8 +99,6 @@
                 settings_.limits.idle_timeout)
                 .count());
         server_.set_payload_max_length(settings_.limits.max_body_bytes);
-        server_.new_task_queue = [this]
-        { return new httplib::ThreadPool(settings_.threads); };
         server_.set_error_handler(
             [this](const httplib::Request&, httplib::Response& response)
             { fill_refusal(response); });
@@ -173,6 +173,7 @@
 http_frontend::http_frontend(http_frontend_settings settings)
 {
     assert(settings.threads >= 1);
+    assert(settings.max_connections > settings.threads);
     implementation_ = std::make_unique<implementation>(std::move(settings));
 }
 
--- a/modules/turmericlane_net/http/http_frontend.h
+++ b/modules/turmericlane_net/http/http_frontend.h
@@ -44,6 +44,9 @@
     /** Number of threads, and thereby of connections served at the same time:
         each open connection occupies a thread. Further connections wait. */
     std::size_t threads = 64;
+    /** Accepted connections, served or waiting for a thread; at least one more
+        than threads. Further ones are closed at once. */
+    std::size_t max_connections = 512;
     /** Limit of the memory for requests and responses. */
     std::size_t max_memory_bytes = std::size_t{32} << 20U;
     frontend_limits limits;
--- a/modules/turmericlane_net/tests/hostile_http_tests.cpp
+++ b/modules/turmericlane_net/tests/hostile_http_tests.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <latch>
 
 using namespace turmericlane;
 
@@ -20,6 +21,7 @@
     http_frontend_settings settings;
     settings.host = "127.0.0.1";
     settings.threads = 2;
+    settings.max_connections = 8;
     settings.limits.max_body_bytes = 1000;
     settings.limits.max_head_bytes = 1000;
     settings.limits.max_field_count = 5;
@@ -27,6 +29,8 @@
     // Longer than a test waits, so that only the tested limit ends a request.
     settings.limits.idle_timeout = 10 * test_timeout;
     settings.limits.request_timeout = 10 * test_timeout;
+    settings.limits.busy_idle_timeout = 10 * test_timeout;
+    settings.limits.busy_request_timeout = 10 * test_timeout;
     return settings;
 }
 
@@ -202,6 +206,50 @@
     CHECK(fixture.handler_calls == 0);
 }
 
+// Guards against silent connections that keep all threads.
+TEST_CASE("an idle connection gives its thread to one that waits")
+{
+    const frontend_fixture fixture;
+    raw_caller used_caller(fixture.port);
+    used_caller.send(get_line + "\r\n");
+    CHECK(used_caller.read_status() == "200");
+    raw_caller silent_caller(fixture.port);
+    raw_caller third_caller(fixture.port);
+    third_caller.send(get_line + "\r\n");
+    CHECK(third_caller.read_status() == "200");
+}
+
+// Guards against connections that use up the descriptors of the process.
+TEST_CASE("a connection above the limit is closed at once")
+{
+    auto settings = make_settings();
+    settings.threads = 1;
+    settings.max_connections = 2;
+    std::latch handler_started(1);
+    std::latch handler_release(1);
+    http_frontend frontend(settings);
+    frontend.add_get_handler(
+        "/",
+        [&](const http_request&)
+        {
+            handler_started.count_down();
+            handler_release.wait();
+            return http_response{200, "done"};
+        });
+    const auto port = frontend.start();
+    REQUIRE(port);
+    raw_caller first_caller(*port);
+    first_caller.send(get_line + "Connection: close\r\n\r\n");
+    handler_started.wait();
+    raw_caller waiting_caller(*port);
+    raw_caller refused_caller(*port);
+    CHECK(refused_caller.read_until_closed().empty());
+    handler_release.count_down();
+    CHECK(first_caller.read_until_closed().ends_with("done"));
+    waiting_caller.send(get_line + "\r\n");
+    CHECK(waiting_caller.read_status() == "200");
+}
+
 // Guards against requests within their limits that together exhaust the memory.
 TEST_CASE("a request is refused when the memory for requests is used up")
 {
--- a/modules/turmericlane_node/http/http_service.cpp
+++ b/modules/turmericlane_node/http/http_service.cpp
@@ -91,6 +91,7 @@
     frontend_settings.host = settings_.address;
     frontend_settings.port = settings_.http_port;
     frontend_settings.threads = settings_.http_threads;
+    frontend_settings.max_connections = settings_.http_connections;
     frontend_settings.max_memory_bytes = settings_.http_memory_bytes;
     frontend_settings.limits.max_body_bytes = body_limit_bytes;
     frontend_settings.limits.request_timeout = settings_.http_request_timeout;
--- a/modules/turmericlane_node/settings/instance_settings.cpp
+++ b/modules/turmericlane_node/settings/instance_settings.cpp
@@ -22,10 +22,14 @@
 constexpr std::int64_t max_http_threads = 1000;
 constexpr std::int64_t max_connections = 1'000'000;
 constexpr std::int64_t max_http_memory_mb = 65536;
-// Of the descriptors that the process may open, by default a
-// quarter is for peers without proof; the rest is for peers, backend
+// Of the descriptors that the process may open, by default one half is for
+// callers, a quarter for peers without proof; the rest is for peers, backend
 // servers and files.
+constexpr std::size_t caller_descriptor_divisor = 2;
 constexpr std::size_t unproven_descriptor_divisor = 4;
+// Fewer connections than this beside those that are served would be too few for
+// callers that connect at the same time.
+constexpr std::size_t min_waiting_callers = 16;
 constexpr std::size_t max_default_unproven_peers = 2400;
 
 /** The declared settings of the daemon. */
@@ -109,6 +113,13 @@
         128,
         4,
         max_http_threads);
+    integer_setting& http_connections = definitions.add<integer_setting>(
+        {"http-connections",
+         "connections of callers, served or waiting; 0 for half of the "
+         "descriptors that the process may open"},
+        0,
+        0,
+        max_connections);
     integer_setting& http_memory_mb = definitions.add<integer_setting>(
         {"http-memory-mb", "memory for requests and responses of callers",
          "MB"},
@@ -146,6 +157,12 @@
     const auto as_size = [](const integer_setting& it)
     { return static_cast<std::size_t>(it.value()); };
     values.http_threads = as_size(declared.http_threads);
+    values.http_connections = as_size(declared.http_connections);
+    if (values.http_connections == 0)
+        values.http_connections =
+            descriptor_limit() / caller_descriptor_divisor;
+    values.http_connections = std::max(
+        values.http_connections, values.http_threads + min_waiting_callers);
     values.http_memory_bytes = as_size(declared.http_memory_mb) << 20U;
     values.http_request_timeout = declared.http_request_timeout.as_duration();
     values.unproven_peers = as_size(declared.unproven_peers);
--- a/modules/turmericlane_node/settings/instance_settings.h
+++ b/modules/turmericlane_node/settings/instance_settings.h
@@ -55,6 +55,8 @@
     std::chrono::milliseconds load_period{500};
     /** Callers' connections that are served at the same time. */
     std::size_t http_threads = 128;
+    /** Connections of callers, served or waiting; above http_threads. */
+    std::size_t http_connections = 512;
     /** Limit of the memory for requests and responses of callers. */
     std::size_t http_memory_bytes = std::size_t{32} << 20U;
     /** Time from the first byte of a caller's request to its last. */
