Test of idle connections no longer depends on the order of two threads

Cause: the case "an idle connection gives its thread to one that waits" hung in 2 of 8 runs of turmericlane_net_tests. If the thread of the used connection becomes idle after the third connection was queued, only the busy idle timeout ends it, which the fixture sets to ten times the test's limit.

Change: the case sets that timeout to 10 ms.

Measured: 8 of 8 runs of the cases of this file pass.

--- a/modules/turmericlane_net/tests/hostile_http_tests.cpp
+++ b/modules/turmericlane_net/tests/hostile_http_tests.cpp
@@ -209,7 +209,10 @@
 // Guards against silent connections that keep all threads.
 TEST_CASE("an idle connection gives its thread to one that waits")
 {
-    const frontend_fixture fixture;
+    auto settings = make_settings();
+    // A connection that becomes idle while another waits is closed after this.
+    settings.limits.busy_idle_timeout = std::chrono::milliseconds(10);
+    const frontend_fixture fixture(settings);
     raw_caller used_caller(fixture.port);
     used_caller.send(get_line + "\r\n");
     CHECK(used_caller.read_status() == "200");
