--- a/modules/turmericlane_forwarding/searchers/searcher.h
+++ b/modules/turmericlane_forwarding/searchers/searcher.h
@@ -259,7 +259,7 @@
     /** True if it is slow because it has just started. */
     bool is_warming_up(time_point now) const noexcept
     {
-        return now < warm_up_end_;
+        return now < warm_up_end_ || warm_up_.is_cold(now);
     }
 
     /** Returns for how long requests in flight have had no answer; zero if none
