--- a/modules/turmericlane_forwarding/tests/evacuation_tests.cpp
+++ b/modules/turmericlane_forwarding/tests/evacuation_tests.cpp
@@ -199,9 +199,9 @@
     };
     const auto tested_route =
         simulation.make_single_route("s", execution_semantics::at_most_once);
-    std::vector<request_handle> requests;
-    for (int i = 0; i < 9; ++i)
-        requests.push_back(simulation.start_request(tested_route));
+    constexpr std::size_t request_count = 9;
+    for (std::size_t i = 0; i < request_count; ++i)
+        simulation.start_request(tested_route);
     REQUIRE(simulation.results.empty());
     simulation.registry.on_evacuation("south", true);
     simulation.engine.on_searchers_lost();
@@ -210,7 +210,7 @@
     CHECK(refused.execution == outcome::not_run);
     CHECK(refused.retry_after > duration::zero());
     simulation.run_for(200ms);
-    CHECK(simulation.results.size() == requests.size());
+    CHECK(simulation.results.size() == request_count);
     const auto late_request = simulation.start_request(tested_route);
     REQUIRE(simulation.results.contains(late_request));
     CHECK(simulation.results[late_request].execution == outcome::not_run);
