--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
-"""One searcher of eight fails some of the orders that it has run, with a 503 of
-its own, signed, and without Turmericlane-Not-Executed. The callers retry an
-order only after a promise that it has not run and never will."""
+"""Two searchers of six send wrong bytes instead of a few of their answers: a
+chunked message with one very long field in its trailer. The other searchers are
+sound, and so are the callers."""
 
 import asyncio
 import pathlib
@@ -11,101 +11,98 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "harness-2"))
 
 import harness  # noqa: E402
-import wire  # noqa: E402
 
-SERVICE = "envios"
+SERVICE = "patronario"
 GATEWAYS = 3
+SEARCHERS = 6
+FAULTY_SEARCHERS = 2
+WORK_S = 0.06
 CALLERS = 8
-SEARCHERS = 8
-WORK_S = 0.1
-LOAD_S = 10.0
-# The doses that the bench names for searchers that fail part of their requests
-# while their liveness check is good.
-FAIL_START_S = 2.0
-FAIL_S = 5.0
-FAILED_SHARE = 0.4
-PROMISES = (408, 421, 429, 503)
-RETRIES = 1
-ROUTES = [
-    {"name": "r-1", "prefix": "/orders/", "type": "unsafe", "service": SERVICE}
-]
+LOAD_S = 12.0
+# At most the doses of the site file: some answers of at most six in ten
+# searchers, for five and a half seconds.
+GARBLE_START_S = 3.0
+GARBLE_S = 5.0
+GARBLED_SHARE = 0.03
+# The value of the field, and how many bytes are sent at a time.
+FIELD_BYTES = 65_600
+PIECE_BYTES = 16_000
+# Rule LOST: more than three times.
+ALLOWED_LOSSES = 3
 
 
-class FailingSearcher(harness.Searcher):
-    """Fails some requests after it has run them."""
+class FaultySearcher(harness.Searcher):
+    """Spoils a few of its answers."""
 
-    fail_times = (0.0, 0.0)
+    garble_times = (0.0, 0.0)
+    garbled = 0
 
     async def respond(self, request_id, writer):
-        start, end = self.fail_times
+        start, end = self.garble_times
         is_due = start <= time.monotonic() < end
-        if not is_due or random.random() >= FAILED_SHARE:
+        if not is_due or random.random() >= GARBLED_SHARE:
             return await super().respond(request_id, writer)
-        self.serial += 1
-        self.record.add("failed after its run", searcher=self.id,
-                        id=request_id)
-        writer.write(wire.make_response(
-            503, b"ledger not available\n",
-            Turmericlane_Request_Id=request_id,
-            Turmericlane_Server_Stamp=f"{self.id}.{self.serial}.{request_id}",
-            Keep_Alive="timeout=8",
-        ))
-        return True
+        self.garbled += 1
+        self.record.add("wrong bytes", searcher=self.id, id=request_id)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            + f"Turmericlane-Request-Id: {request_id}\r\n\r\n".encode()
+            + b"8\r\n" + b"\x00" * 8 + b"\r\n"
+        )
+        trailer = b"0\r\nx: " + b"Z" * FIELD_BYTES + b"\r\n\r\n"
+        for i in range(0, len(trailer), PIECE_BYTES):
+            await writer.drain()
+            await asyncio.sleep(0.005)
+            writer.write(trailer[i : i + PIECE_BYTES])
+        await writer.drain()
+        return False
 
 
-async def order(caller, end_time, attempts):
-    """Sends orders; attempts gets the ids and statuses of each one's."""
+async def call(caller, end_time, losses):
     while time.monotonic() < end_time:
-        order_attempts = []
-        for _ in range(1 + RETRIES):
-            request_id, answer = await caller.request(
-                "/orders/x", "POST", b"pitch 17", limit_s=2.0
-            )
-            status = answer and answer.status
-            order_attempts.append((request_id, status))
-            if status not in PROMISES:
-                break
-            retry_after = float(answer.fields.get("retry-after", 0.05))
-            await asyncio.sleep(min(retry_after, 0.6))
-            caller.close()
-        attempts.append(order_attempts)
         await asyncio.sleep(random.uniform(0.01, 0.05))
+        is_kept = caller.streams is not None and caller.uses > 0
+        request_id, answer = await caller.request("/history/x")
+        if answer is None and is_kept and caller.ending == "connection ended":
+            losses.append(request_id)
 
 
 async def play(deployment):
+    await deployment.configure(
+        [{"name": "r-1", "prefix": "/history/", "type": "safe",
+          "service": SERVICE}], [SERVICE],
+    )
     record = deployment.record
-    await deployment.configure(ROUTES, [SERVICE])
-    searchers = []
+    faulty, sound = [], []
     for i in range(SEARCHERS):
-        kind = FailingSearcher if i == 0 else harness.Searcher
-        searchers.append(await deployment.add_searcher(kind(
-            record, f"i-{i + 1}", SERVICE, harness.ZONES[i % len(harness.ZONES)],
-            work_s=WORK_S,
-        )))
+        is_faulty = i < FAULTY_SEARCHERS
+        kind = FaultySearcher if is_faulty else harness.Searcher
+        zone = harness.ZONES[i % len(harness.ZONES)]
+        searcher = kind(record, f"i-{i + 1}", SERVICE, zone, work_s=WORK_S)
+        (faulty if is_faulty else sound).append(searcher)
+        await deployment.add_searcher(searcher)
     await deployment.start_gateways()
     start = time.monotonic()
     if harness.is_troubled():
-        fail_start = start + FAIL_START_S
-        searchers[0].fail_times = (fail_start, fail_start + FAIL_S)
-    orders = []
+        garble_start = start + GARBLE_START_S
+        for it in faulty:
+            it.garble_times = (garble_start, garble_start + GARBLE_S)
+    losses = []
     await asyncio.gather(*(
-        order(harness.Caller(deployment, f"c{i}", it), start + LOAD_S, orders)
-        for i, it in enumerate(deployment.gateways * CALLERS)
+        call(harness.Caller(deployment, f"c{i}", gateway), start + LOAD_S,
+             losses)
+        for i, gateway in enumerate(deployment.gateways * CALLERS)
     ))
-    ran = {it for s in searchers for _, it in s.runs}
-    broken = [
-        request_id for attempts in orders for request_id, status in attempts
-        if status in PROMISES and request_id in ran
-    ]
-    doubled = sum(
-        1 for attempts in orders if sum(it in ran for it, _ in attempts) > 1
-    )
+    # Only what was passed on to a sound searcher counts.
+    run_by_sound = {it for s in sound for _, it in s.runs}
+    counted = [it for it in losses if it in run_by_sound]
+    ends = [len(it.own_ends) for it in deployment.gateways]
     record.conclude(
-        f"{len(orders)} orders; {len(broken)} requests were answered with a "
-        f"promise that they had not run, but had run; {doubled} orders ran "
-        f"twice because their caller believed it"
+        f"{sum(it.garbled for it in faulty)} answers spoiled; ends of their "
+        f"own by gateway: {ends}; requests on kept connections passed on to "
+        f"sound searchers and closed without an answer: {len(counted)}"
     )
-    return len(broken) > 0
+    return len(counted) > ALLOWED_LOSSES
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,12 @@
-"""Callers with kept connections read long answers slowly, but well within their
-time limits."""
+"""All machines but one lose power at the same moment. The last one is calm and
+reaches the store. The operator then sends desired states in quick succession;
+each moves a route to another service. Played again with another last machine,
+once the others are back, until the rule is broken or the time is up."""
 
 import asyncio
+import json
 import pathlib
-import socket
+import random
 import sys
 import time
 
@@ -12,119 +15,132 @@
 import harness  # noqa: E402
 import wire  # noqa: E402
 
-SERVICE = "patronario"
-GATEWAYS = 2
-CALLERS = 16
-SHORT_BYTES = 1_000
-LONG_BYTES = 6_000_000
-# A caller takes about this long to read a long answer, of its limit.
-READ_S = 5.0
-LIMIT_S = 8.0
-STEP_BYTES = 16_384
-RECEIVE_BUFFER_BYTES = 8_192
-BETWEEN_CALLERS_S = 0.25
-# Rule LOST: more than three times.
-ALLOWED_LOSSES = 3
-ROUTES = [{"name": "r-1", "prefix": "/archive/", "type": "unsafe",
-           "service": SERVICE, "timeoutMs": 8000, "targetLatencyMs": 1000}]
-
-
-class ArchiveSearcher(harness.Searcher):
-    """Answers of the size that the request's id names."""
-
-    async def respond(self, request_id, writer):
-        size = LONG_BYTES if "long" in request_id else SHORT_BYTES
-        writer.write(self.make_answer(request_id, b"r" * size))
-        await writer.drain()
-        return True
-
-
-class SlowCaller(harness.Caller):
-    """Takes its answers in steps, through a small receive buffer."""
-
-    async def connect(self):
-        if self.streams:
-            return
-        sock = socket.socket()
-        sock.setblocking(False)
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        await asyncio.get_running_loop().sock_connect(
-            sock, (self.gateway.ip, self.gateway.front_port)
+GATEWAYS = 9
+TRIALS = 4
+VERSIONS = 12
+GAP_S = 0.33
+PAUSE_S = 4.5
+SERVICES = [f"mostrador-{i}" for i in range(TRIALS * VERSIONS + 1)]
+APPLY_S = harness.BOUNDS["configApplyMs"] / 1000
+START_READS_S = 3.0
+CONTACT_S = harness.BOUNDS["contactMs"] / 1000
+
+
+async def send_version(deployment, number, acks):
+    """Moves the route to the service of that number."""
+    acks[number] = await deployment.configure(
+        [{"name": "r-1", "prefix": "/orders/", "type": "safe",
+          "service": SERVICES[number]}], SERVICES,
+    )
+
+
+async def call(caller, sent_times):
+    while True:
+        start = time.monotonic()
+        request_id, _ = await caller.request("/orders/x")
+        sent_times[request_id] = start
+        await asyncio.sleep(0.01)
+
+
+async def resolve(deployment, gateway):
+    """Returns the addresses that callers are given."""
+    reader, writer = await asyncio.open_connection(
+        gateway.ip, deployment.ports["directory"]
+    )
+    writer.write(wire.make_request(
+        "GET", harness.HOST,
+        f"/resolve?name={harness.HOST}&region=norte&zone={harness.ZONES[0]}", {}
+    ))
+    message = await wire.read_message(reader)
+    writer.close()
+    return json.loads(message.body)["addrs"]
+
+
+class Trial:
+    """The loss of all machines but one, and what the last one does then."""
+
+    def __init__(self, deployment, number, acks):
+        self.deployment = deployment
+        self.number = number
+        self.acks = acks
+        self.sent_times = {}
+        self.addresses = []
+        readers = deployment.store_readers()
+        self.last = random.choice(
+            [it for it in deployment.gateways if it not in readers]
         )
-        self.streams = await asyncio.open_connection(
-            sock=sock, limit=STEP_BYTES
+        deployment.record.add(
+            "machines that read the store",
+            gateways=[it.number for it in readers], last=self.last.number,
         )
-        self.uses = 0
-
-    async def fetch(self, kind, pause_s):
-        """Returns the id, and how the answer ended."""
-        await self.connect()
-        self.serial += 1
-        request_id = f"{self.name}-{kind}-{self.serial}"
-        record = self.deployment.record
-        reader, writer = self.streams
-        record.add("sent", id=request_id, kept=self.uses > 0)
-        progress = wire.Progress(STEP_BYTES, pause_s)
-        try:
-            async with asyncio.timeout(LIMIT_S):
-                writer.write(wire.make_request("GET", harness.HOST,
-                             "/archive/x", {
-                                 "Turmericlane-Request-Id": request_id,
-                                 "Turmericlane-Deadline-Ms":
-                                     int(LIMIT_S * 1000)}))
-                answer = await wire.read_message(reader, progress)
-            result = str(answer.status)
-            self.uses += 1
-        except TimeoutError:
-            result = "time limit"
-        except (OSError, EOFError):
-            result = "connection ended"
-        record.add("ended", id=request_id, result=result,
-                   bytes=progress.received_bytes)
-        return request_id, result
-
-
-async def call(caller, delay_s, results):
-    await caller.fetch("short", 0.0)
-    await asyncio.sleep(delay_s)
-    if harness.is_troubled():
-        pause_s = READ_S * STEP_BYTES / LONG_BYTES
-    else:
-        pause_s = 0.0
-    results.append(await caller.fetch("long", pause_s))
-
-
-def peak_memory_mb(gateway):
-    status = pathlib.Path(f"/proc/{gateway.process.pid}/status").read_text()
-    return int(status.split("VmHWM:")[1].split()[0]) // 1024
+
+    async def run(self):
+        lost = [it for it in self.deployment.gateways if it is not self.last]
+        if harness.is_troubled():
+            await asyncio.gather(*(it.lose() for it in lost))
+            self.deployment.record.add(
+                "machines lost", gateways=[it.number for it in lost]
+            )
+        # Longer than the time after which the rules hold again.
+        await asyncio.sleep(CONTACT_S + 1.0)
+        calls = asyncio.ensure_future(call(
+            harness.Caller(self.deployment, f"c{self.number}", self.last),
+            self.sent_times,
+        ))
+        first = self.number * VERSIONS + 1
+        for it in range(first, first + VERSIONS):
+            await send_version(self.deployment, it, self.acks)
+            await asyncio.sleep(GAP_S)
+        await asyncio.sleep(PAUSE_S)
+        calls.cancel()
+        self.addresses = await resolve(self.deployment, self.last)
+        if harness.is_troubled():
+            for it in lost:
+                await it.restart()
+
+    def delays(self, searchers):
+        """Returns how long after the ack of the next version requests were
+        sent that ran on a service which only an older version names."""
+        result = []
+        for it in searchers:
+            newer_ack = self.acks.get(SERVICES.index(it.service) + 1)
+            if newer_ack is None:
+                continue
+            result += [
+                self.sent_times[request_id] - newer_ack
+                for _, request_id in it.runs if request_id in self.sent_times
+            ]
+        return result
 
 
 async def play(deployment):
-    record = deployment.record
-    await deployment.configure(ROUTES, [SERVICE])
+    acks = {}
+    await send_version(deployment, 0, acks)
     searchers = [
-        await deployment.add_searcher(ArchiveSearcher(
-            record, f"i-{i + 1}", SERVICE, harness.ZONES[i % 4]
-        )) for i in range(6)
+        await deployment.add_searcher(harness.Searcher(
+            deployment.record, f"i-{it}", it, work_s=0.002
+        )) for it in SERVICES
     ]
     await deployment.start_gateways()
-    results = []
-    await asyncio.gather(*(
-        call(SlowCaller(deployment, f"c{i}", it), i * BETWEEN_CALLERS_S,
-             results)
-        for i, it in enumerate(deployment.gateways * CALLERS)
-    ))
-    ran = {it for s in searchers for _, it in s.runs}
-    lost = [it for it, result in results
-            if result == "connection ended" and it in ran]
-    record.conclude(
-        f"{len(results)} long answers, {len(lost)} cut off on kept "
-        f"connections; peak memory of the gateways in MB: "
-        f"{[peak_memory_mb(it) for it in deployment.gateways]} of 260"
-    )
-    return len(lost) > ALLOWED_LOSSES
+    for number in range(TRIALS):
+        # All machines read the store when they start.
+        await asyncio.sleep(START_READS_S)
+        trial = Trial(deployment, number, acks)
+        await trial.run()
+        delays = trial.delays(searchers)
+        late = [it for it in delays if it > APPLY_S]
+        own = f"{trial.last.ip}:{trial.last.front_port}"
+        deployment.record.conclude(
+            f"trial {number + 1}: {len(late)} of {len(trial.sent_times)} "
+            f"requests were sent later than {APPLY_S:.0f} s after the ack of a "
+            f"version and run by a service that only an older version names, "
+            f"the last {max(delays):.2f} s after it; of "
+            f"{len(trial.addresses)} addresses for callers, "
+            f"{trial.addresses.count(own)} are of the machine that answered"
+        )
+        if late:
+            return True
+    return False
 
 
 if __name__ == "__main__":
