--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -21,6 +21,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform/tests/soak"))
 
+import faults  # noqa: E402
 import standins  # noqa: E402
 import wire  # noqa: E402
 
@@ -42,6 +43,11 @@
 RESTART_DELAY_S = 0.3
 
 
+def reset(writer):
+    """Closes a connection with a reset."""
+    faults.reset_connection(writer)
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
