--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,7 @@
-"""A service of one searcher is busy with long requests when urgent users come
-at once. It rejects these and asks for a pause by Retry-After, as it may. Then
-it loses the answers of some requests that it has run. When the pause is over,
-the gateways connect to it again."""
+"""Users of two kinds come at once to a service of one searcher. It runs what it
+has room for, rejects the rest, and asks for a pause by Retry-After, as it may.
+Then it loses the answers of some requests that it has run. When the pause is
+over, the gateways connect to it again."""
 
 import asyncio
 import pathlib
